--- /dev/null
+++ b/choice/choice.go
@@ -0,0 +1,923 @@
+// Package choice decides for one relay: where each command goes, how long a
+// delivery may take, what is tried again or given up, and how the relay votes on
+// the build on trial.
+//
+// How to call it: New makes the Relay of one instance. Call the one method that
+// names what has happened, with the time; it acts at once through the Host that New
+// was given. Calls are made one at a time, in the order of the events. The types
+// and the Host interface are in host.go. Settings come as a plain map of names to
+// values (seconds for times) and are picked where they are needed.
+//
+// The design (docs/design.md) decides the ordinary path. Beside it stand:
+//  1. the room of a unit: no more in flight than it answers in part of a target
+//  2. commands that find no room are held, and given up when the target is lost
+//  3. units set aside by a sequential test, with a trickle that doubles
+//  4. the cold budget
+//  5. one test for each op type and one for wrong answers, beside the first
+//  6. lateness against the earlier build, scored as the time-out of a delivery
+package choice
+
+import (
+	"fmt"
+	"math"
+	"slices"
+)
+
+const (
+	alpha       = 0.01 // false-alarm budget of one stream of outcomes
+	margin      = 0.02 // above the earlier build's failure share
+	capUse      = 0.9  // of the cap, for first deliveries
+	mostTests   = 32   // open at once in one stream
+	leastSample = 20   // outcomes in a stage before a vote to go on
+	leastTimed  = 6    // outcomes of the build before a timed vote to go on
+	voteAfter   = 3 * Second
+	kept        = 64 // samples of an op type at one build
+	sweepEvery  = 50 * Second / 1000
+	lateness    = 2.0            // times the earlier build's slow deliveries
+	roomPart    = 0.5            // of a service target: what a unit may owe
+	roomLeast   = 3              // deliveries in flight that every unit may have
+	coldPart    = 0.6            // of what the cold rule allows
+	rateSpan    = 2 * Second     // over which the relay's own rate is taken
+	doubtUp     = 3.0            // a unit's doubt, times this for a failure
+	doubtDown   = 0.5            // and this for a success
+	doubtAside  = 27.0           // sets a unit aside
+	gapFirst    = Second / 2     // between the first deliveries of a trickle
+	gapMost     = 4 * Second     // after failures
+	gapDone     = Second / 20    // a trickle this dense ends
+	sweepTag    = uint32(0x5eed) // the one timer
+)
+
+// Relay decides for one instance.
+type Relay struct {
+	host     Host
+	set      map[string]any
+	opTypes  []map[string]any
+	now      Tick
+	born     Tick
+	x, carry uint32 // chance
+
+	units   []*Unit // those listed as ready, in the order of listing
+	held    []*Command
+	out     []*Delivery // not ended, oldest first
+	acks    []Tick      // of the last rateSpan
+	perUnit float64     // acked a second at a warm unit, this relay's part
+	panicky bool        // so many units are set aside that the test says nothing
+
+	lanes   []lane // what the exposure rule counts: all, or one an op type
+	news    StageNews
+	told    bool
+	since   Tick // when the newest stage started
+	recount Tick // when a lower cap binds and the count starts anew
+	forward map[uint64]bool
+
+	base   *sample // of the earlier build
+	judged *trial
+	ballot ballot
+
+	asking   bool
+	askAgain Tick
+	askGap   Tick
+}
+
+// lane is one count of the exposure rule.
+type lane struct {
+	taken, sent []Tick
+	credit      float64 // first deliveries due to the trial build
+}
+
+// sample is the last outcomes at one build, for each op type.
+type sample struct {
+	bad  [][]float64
+	took [][]Tick
+}
+
+// trial is the judging of one build.
+type trial struct {
+	build   uint16
+	sample  *sample
+	streams []stream // all outcomes, one an op type, wrong answers
+	inStage int
+	alarm   string
+}
+
+// stream is the design's detector: a test started at each outcome.
+type stream struct {
+	n     int
+	tests []test
+}
+
+// test is one one-sided betting test.
+type test struct {
+	start  int
+	seen   float64
+	bad    float64
+	wealth float64
+}
+
+// ballot is this relay's vote.
+type ballot struct {
+	build   uint16
+	stage   int
+	verdict Verdict
+	state   int
+	at      Tick // when it goes out, stops being waited for, or no longer stands
+}
+
+const (
+	noBallot = iota
+	drawn
+	cast
+	stands
+)
+
+// New makes the module of one instance, started now with its seed and settings.
+func New(host Host, now Tick, seed uint64, settings map[string]any) *Relay {
+	r := &Relay{host: host, set: settings, now: now, born: now, forward: map[uint64]bool{}}
+	r.x, r.carry = uint32(seed), uint32(seed>>32)%4294957664+1
+	r.opTypes, _ = settings["op_types"].([]map[string]any)
+	r.lanes = make([]lane, 1)
+	if r.word("rollout.exposure_by") == "op_type" {
+		r.lanes = make([]lane, len(r.opTypes))
+	}
+	r.base = r.newSample()
+	if r.word("discovery") == "subscribe" {
+		r.host.Watch(true)
+		r.asking, r.askGap = true, Second
+		r.askAgain = now + r.span("rules.ask_every")/2
+	}
+	r.host.WakeAt(now+sweepEvery, sweepTag)
+	return r
+}
+
+// Command takes a command.
+func (r *Relay) Command(now Tick, cmd *Command) {
+	r.now = now
+	cmd.taken = now
+	l := r.lane(cmd.OpType)
+	l.taken = append(l.taken, now)
+	l.credit = min(l.credit+capUse*r.trialCap(), max(1, r.num("rollout.exposure_free")))
+	r.held = append(r.held, cmd)
+	cmd.held = true
+	r.serve()
+}
+
+// serve routes what is held, the most urgent first, until one finds no unit.
+func (r *Relay) serve() {
+	if len(r.held) > 1 {
+		slices.SortStableFunc(r.held, func(a, b *Command) int { return int(r.lastStart(a) - r.lastStart(b)) })
+	}
+	left := r.held[:0]
+	stuck := 0
+	for i, cmd := range r.held {
+		switch {
+		case cmd.answered:
+		case r.now >= r.lastStart(cmd):
+			r.giveUp(cmd)
+		case stuck < 4 && r.route(cmd):
+			cmd.held = false
+		default:
+			stuck++
+			left = append(left, r.held[i])
+		}
+	}
+	clear(r.held[len(left):])
+	r.held = left
+}
+
+// route is the ordinary path of a command: which build, which unit, how long.
+func (r *Relay) route(cmd *Command) bool {
+	l := r.lane(cmd.OpType)
+	first := len(cmd.deliveries) == 0
+	var earlier, trial []*Unit
+	for _, u := range r.units {
+		switch {
+		case !r.mayTake(cmd, u):
+		case !r.onTrial(u.Build):
+			earlier = append(earlier, u)
+		case r.exposable(cmd, l, u.Build):
+			trial = append(trial, u)
+		}
+	}
+	pool := earlier
+	if first && l.credit >= 1 && len(trial) > 0 {
+		pool = trial
+	}
+	if len(pool) == 0 { // nothing earlier can take it: the tenth kept back may be used
+		pool = trial
+	}
+	if len(pool) == 0 {
+		return false
+	}
+	u := pool[r.chance(len(pool))]
+	if other := pool[r.chance(len(pool))]; other.inFlight < u.inFlight {
+		u = other
+	}
+
+	d := &Delivery{Cmd: cmd, No: len(cmd.deliveries), To: u, sent: r.now, build: u.Build, since: u.Start}
+	late := r.lateAfter(cmd.OpType, u)
+	d.due = r.now + late
+	stop := cmd.NotAfter
+	if r.word2(cmd, "repeats") != "at_most_once" && d.No+1 < int(r.num("limits.max_deliveries")) {
+		stop = min(stop, r.now+max(late, r.opSpan(cmd, "service_target")*6/10))
+	}
+	if r.onTrial(u.Build) {
+		l.sent = append(l.sent, r.now)
+		l.credit = max(0, l.credit-1)
+	}
+	if r.warmth(u) < 1 {
+		u.sends = append(u.sends, r.now)
+	}
+	if u.inFlight == 0 {
+		u.oldest = r.now
+	}
+	if r.doubted(u) {
+		u.nextTry = r.now + max(u.gap, gapDone)
+	}
+	u.inFlight++
+	cmd.deliveries = append(cmd.deliveries, d)
+	r.out = append(r.out, d)
+	r.host.Deliver(d, stop)
+	return true
+}
+
+// mayTake says whether a unit may get this command now, trial or not.
+func (r *Relay) mayTake(cmd *Command, u *Unit) bool {
+	if u.State != Ready || !r.mayRepeat(cmd, u) {
+		return false
+	}
+	if n := len(cmd.deliveries); n > 0 && cmd.deliveries[n-1].To == u {
+		return false
+	}
+	if r.forward[cmd.Key] && cmd.Key != 0 && u.Build < r.news.Build &&
+		(r.news.Phase == OnTrial || r.news.Phase == Released) {
+		return false
+	}
+	if r.doubted(u) && !r.panicky {
+		// A trickle of commands that can be tried again tells whether it has come back.
+		return r.now >= u.nextTry && u.inFlight < roomLeast && r.word2(cmd, "repeats") != "at_most_once"
+	}
+	return float64(u.inFlight) < r.room(u) && r.coldRoom(u)
+}
+
+// doubted: the unit was set aside, or owes an answer for longer than is usual.
+func (r *Relay) doubted(u *Unit) bool {
+	return u.aside || u.inFlight > 0 && r.now-max(u.heard, u.oldest) > r.patience(u)
+}
+
+// patience is how long a unit with something in flight may stay silent.
+func (r *Relay) patience(u *Unit) Tick {
+	p := Tick(0)
+	for op := range r.opTypes {
+		p = max(p, r.lateAfter(op, u))
+	}
+	return p
+}
+
+// room bounds what is in flight at a unit by what it answered of late, so that a
+// slow or overfull unit fills up no further. Guards against slow units, overload
+// and queues that outlast the service target; hurts right after an idle spell.
+func (r *Relay) room(u *Unit) float64 {
+	target := Tick(math.MaxInt64)
+	for _, t := range r.opTypes {
+		target = min(target, ticks(t["service_target"]))
+	}
+	if len(u.acks) < 2 {
+		return roomLeast
+	}
+	rate := float64(len(u.acks)) / float64(max(1, r.now-u.acks[0]))
+	return roomLeast + roomPart*rate*float64(target)
+}
+
+// warmth is the part of its capacity that a unit has at the least.
+func (r *Relay) warmth(u *Unit) float64 {
+	cold := r.span("rules.cold")
+	if u.Start == 0 || r.now-u.Start >= cold {
+		return 1
+	}
+	from := r.num("rules.cold_from")
+	return from + (1-from)*float64(max(0, r.now-u.Start))/float64(cold)
+}
+
+// coldRoom keeps this relay's part of the cold budget: a part of what the rule
+// allows, in terms of what this relay's warm units answer. As every relay keeps to
+// its own warm rate, all together stay under the rule without speaking.
+func (r *Relay) coldRoom(u *Unit) bool {
+	w := r.warmth(u)
+	if w >= 1 {
+		return true
+	}
+	tip := r.span("rules.tip_after")
+	u.sends = recent(u.sends, r.now-tip-1)
+	budget := coldPart * r.num("rules.fall_multiple") * w * r.perUnit * float64(tip) / float64(Second)
+	return float64(len(u.sends)) < 1+budget
+}
+
+// onTrial says whether the exposure rule counts a build.
+func (r *Relay) onTrial(build uint16) bool {
+	if !r.told {
+		return false
+	}
+	return build > r.news.Build || build == r.news.Build && r.news.Phase != Released
+}
+
+// capOf is the cap of a build on trial; one that the news has not named counts as
+// in the first stage.
+func (r *Relay) capOf(build uint16) (share float64, stage int) {
+	if build == r.news.Build {
+		return r.news.Cap, r.news.Stage
+	}
+	if caps, ok := r.set["rollout.caps"].([]any); ok && len(caps) > 0 {
+		share, _ = caps[0].(float64)
+	}
+	return share, 0
+}
+
+// trialCap is the cap of the newest build, 0 where nothing is on trial.
+func (r *Relay) trialCap() float64 {
+	if r.judged == nil || !r.onTrial(r.judged.build) {
+		return 0
+	}
+	share, _ := r.capOf(r.judged.build)
+	return share
+}
+
+// exposable keeps the exposure rule for one more delivery at a build on trial.
+func (r *Relay) exposable(cmd *Command, l *lane, build uint16) bool {
+	share, stage := r.capOf(build)
+	if share <= 0 {
+		return false
+	}
+	if stage < int(r.num("rollout.guarded_stages")) && r.word2(cmd, "repeats") != "redeliverable" {
+		return false
+	}
+	window := r.span("rollout.exposure_window") + 1
+	l.sent, l.taken = recent(l.sent, r.now-window-1), recent(l.taken, r.now-window+2)
+	free := r.num("rollout.exposure_free")
+	if r.now <= r.born+window {
+		free = 0 // this relay may have been killed just now, and its sends still count
+	}
+	return float64(len(l.sent)+1) <= free+share*float64(len(l.taken))
+}
+
+// mayRepeat keeps the rule on double effects for one more delivery at a unit.
+func (r *Relay) mayRepeat(cmd *Command, u *Unit) bool {
+	if len(cmd.deliveries) >= int(r.num("limits.max_deliveries")) {
+		return false
+	}
+	for _, d := range cmd.deliveries {
+		if !d.mayHaveRun() {
+			continue
+		}
+		if !d.ended {
+			return false
+		}
+		switch r.word2(cmd, "repeats") {
+		case "redeliverable":
+		case "deduplicated":
+			group := r.word2(cmd, "repeat_group")
+			same := group == "all" || group == "zone" && d.To.Zone == u.Zone || group == "cell" && d.To.Cell == u.Cell
+			if !same || r.now+1 >= d.sent+r.opSpan(cmd, "repeat_window") {
+				return false
+			}
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// mayHaveRun: only these endings prove that a delivery never ran.
+func (d *Delivery) mayHaveRun() bool {
+	return !d.ended || d.ending != Full && d.ending != ConnectFailed && d.ending != Moot
+}
+
+// mayNack: a nack says that trying again is harmless.
+func (r *Relay) mayNack(cmd *Command) bool {
+	for _, d := range cmd.deliveries {
+		if !d.mayHaveRun() {
+			continue
+		}
+		switch r.word2(cmd, "repeats") {
+		case "redeliverable":
+		case "deduplicated":
+			if r.word2(cmd, "repeat_group") != "all" {
+				return false
+			}
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// giveUp answers at once, with the time to come back where clients are told one.
+func (r *Relay) giveUp(cmd *Command) {
+	cmd.answered = true
+	if !r.mayNack(cmd) {
+		r.host.Fail(cmd)
+		return
+	}
+	var back Tick
+	if yes, _ := r.set["limits.come_back"].(bool); yes {
+		target := r.opSpan(cmd, "service_target")
+		back = min(r.span("limits.max_come_back"), target/2+Tick(r.chance(int(target/2)+1)))
+	}
+	r.host.Nack(cmd, back)
+}
+
+// lastStart is when a held command must start to be of use.
+func (r *Relay) lastStart(cmd *Command) Tick {
+	end := cmd.NotAfter - 1
+	if ofUse, _ := r.opTypes[cmd.OpType]["late_importance"].(float64); ofUse == 0 {
+		end = min(end, cmd.taken+r.opSpan(cmd, "service_target"))
+	}
+	return end - r.slow(cmd.OpType, 2)
+}
+
+// Outcome takes the end of a delivery.
+func (r *Relay) Outcome(now Tick, d *Delivery, ending Ending, took Tick, settled bool, load []float64) {
+	r.now = now
+	cmd, u := d.Cmd, d.To
+	if d.ended {
+		return
+	}
+	d.ended, d.ending = true, ending
+	u.inFlight--
+	if i := slices.Index(r.out, d); i >= 0 {
+		r.out = slices.Delete(r.out, i, i+1)
+	}
+	if ending != TimedOut && ending != ConnectFailed && ending != Cancelled && ending != Moot {
+		u.heard = now
+	}
+	if ending == Acked {
+		u.acks = append(u.acks, now)
+		u.acks = u.acks[max(0, len(u.acks)-16):]
+		r.acks = append(r.acks, now)
+		if key := cmd.Key; key != 0 && d.build == r.news.Build && r.flag("rollout.forward_only") {
+			r.forward[key] = true
+		}
+	}
+	r.score(d, took)
+	if settled {
+		cmd.answered = true
+	}
+	if !cmd.answered && !cmd.held {
+		cmd.held = true
+		if ending != Acked && !r.anyRepeat(cmd) {
+			r.giveUp(cmd)
+		} else {
+			r.held = append(r.held, cmd)
+		}
+	}
+	r.serve()
+	r.consider()
+}
+
+// anyRepeat says whether some listed unit could get another delivery.
+func (r *Relay) anyRepeat(cmd *Command) bool {
+	return slices.ContainsFunc(r.units, func(u *Unit) bool { return r.mayRepeat(cmd, u) })
+}
+
+// score turns a delivery into an outcome of its unit and of its build: an error, a
+// time-out or a reset scores 1, an answer 0. One that takes longer than the earlier
+// build's slow deliveries counts as timed out there, so that slow, overloaded and
+// late builds reach the test as well as failing ones.
+func (r *Relay) score(d *Delivery, took Tick) {
+	if d.scored {
+		return
+	}
+	d.scored = true
+	u, bad := d.To, 0.0
+	late := r.now > d.due || took > d.due-d.sent
+	switch {
+	case !d.ended: // overdue
+		bad = 1
+	case d.ending == Errored || d.ending == TimedOut || d.ending == Reset || d.ending == ConnectFailed:
+		bad = 1
+	case d.ending == Acked && late:
+		bad = 1
+	case d.ending != Acked:
+		return // never looked at, or called off: says nothing
+	}
+	wasAside := u.aside
+	if u.Start == d.since {
+		r.weigh(u, bad > 0)
+	}
+	if d.ended && d.ending == ConnectFailed {
+		return
+	}
+	// A unit that failed its own test, or is silent while others of its build answer,
+	// speaks for itself and not for the build. Guards against dead, silent and broken
+	// units; hurts when a bad build shows at some of its units only.
+	silent := bad > 0 && u.heard < d.sent
+	if (wasAside || silent) && r.othersAnswer(u, d) {
+		return
+	}
+	j := r.judged
+	switch {
+	case j == nil || d.build > j.build:
+	case d.build < j.build:
+		r.base.add(d.Cmd.OpType, bad, took)
+	default:
+		j.sample.add(d.Cmd.OpType, bad, took)
+		if r.told && r.news.Build == j.build && r.news.Phase == Released &&
+			!(d.ended && (d.ending == Errored || d.ending == Reset)) {
+			bad = 0 // released: with no earlier build to compare, slowness says nothing of the build
+		}
+		j.inStage++
+		r.see(0, bad, r.base.share(-1)+margin, alpha)
+		r.see(1+d.Cmd.OpType, bad, r.base.share(d.Cmd.OpType)+margin, alpha/float64(len(r.opTypes)))
+	}
+}
+
+// othersAnswer says whether another unit of the build has answered since.
+func (r *Relay) othersAnswer(u *Unit, d *Delivery) bool {
+	return slices.ContainsFunc(r.units, func(o *Unit) bool {
+		return o != u && o.Build == d.build && !o.aside && o.heard >= d.sent
+	})
+}
+
+// weigh is the sequential test on a unit's outcomes, and its trickle.
+func (r *Relay) weigh(u *Unit, bad bool) {
+	if bad {
+		u.doubt = max(1, u.doubt) * doubtUp
+		u.gap = min(max(u.gap*2, gapFirst), gapMost)
+	} else {
+		u.doubt = max(1, u.doubt*doubtDown)
+		u.gap /= 2
+	}
+	switch {
+	case !u.aside && u.doubt >= doubtAside:
+		u.aside = true
+		u.nextTry = r.now + u.gap
+		r.host.Log(fmt.Sprintf("unit %d set aside after failures", u.Door))
+	case u.aside && !bad && u.gap < gapDone:
+		u.aside, u.doubt = false, 1
+		r.host.Log(fmt.Sprintf("unit %d back in use", u.Door))
+	}
+}
+
+// see gives one outcome to a stream of the judged build.
+func (r *Relay) see(which int, x, b, level float64) {
+	j := r.judged
+	s := &j.streams[which]
+	if n, wealth, ok := s.see(x, min(b, 0.9), level); ok && j.alarm == "" {
+		name := "all commands"
+		if which == len(j.streams)-1 {
+			name = "wrong answers"
+		} else if which > 0 {
+			name = fmt.Sprint("op type ", which-1)
+		}
+		j.alarm = fmt.Sprintf("%s: test %d of %d, wealth %.3g, earlier share %.3f", name, n, s.n, wealth, b-margin)
+		r.host.Log(fmt.Sprintf("build %d alarm on %s", j.build, j.alarm))
+	}
+}
+
+// see opens a test with this outcome, where there is room, and bets in all.
+func (s *stream) see(x, b, level float64) (start int, wealth float64, alarm bool) {
+	s.n++
+	opened := test{start: s.n, wealth: 1}
+	if len(s.tests) < mostTests {
+		s.tests = append(s.tests, opened)
+	} else if s.n >= 2*mostTests && s.n&(s.n-1) == 0 {
+		s.tests[mostTests-1] = opened
+	}
+	for i := range s.tests {
+		t := &s.tests[i]
+		mean := (t.bad + 0.5) / (t.seen + 1)
+		bet := min(max(0, (mean-b)/(b*(1-b))), 1/b)
+		t.wealth *= 1 + bet*(x-b)
+		t.seen++
+		t.bad += x
+		if t.wealth >= threshold(t.start, level) && !alarm {
+			start, wealth, alarm = t.start, t.wealth, true
+		}
+	}
+	return start, wealth, alarm
+}
+
+// threshold is the wealth at which the n-th test rejects.
+func threshold(n int, level float64) float64 {
+	return math.Pi * math.Pi * float64(n) * float64(n) / (6 * level)
+}
+
+// wary says whether any test holds a vote to go on back.
+func (j *trial) wary(ops int) bool {
+	for i := range j.streams {
+		level := alpha
+		if i > 0 && i <= ops {
+			level = alpha / float64(ops)
+		}
+		for _, t := range j.streams[i].tests {
+			if t.wealth > math.Sqrt(threshold(t.start, level)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Alarm takes a timer.
+func (r *Relay) Alarm(now Tick, tag uint32) {
+	r.now = now
+	if tag != sweepTag {
+		return
+	}
+	r.host.WakeAt(now+sweepEvery, sweepTag)
+	for _, d := range r.out {
+		if now > d.due {
+			r.score(d, now-d.sent)
+		}
+	}
+	r.acks = recent(r.acks, now-rateSpan)
+	whole, aside := 0.0, 0
+	for _, u := range r.units {
+		whole += r.warmth(u)
+		if r.doubted(u) {
+			aside++
+		}
+	}
+	r.perUnit = float64(len(r.acks)) * float64(Second) / float64(rateSpan) / max(whole, 1)
+	r.panicky = 2*aside > len(r.units)
+	if r.recount != 0 && now > r.recount {
+		r.recount = 0
+		for i := range r.lanes {
+			r.lanes[i] = lane{}
+		}
+	}
+	if r.asking && now >= r.askAgain {
+		r.ask()
+	}
+	r.serve()
+	r.consider()
+}
+
+// ask asks for the list's changes again, less often after each failure.
+func (r *Relay) ask() {
+	r.host.Watch(true)
+	r.askGap = min(2*r.askGap, r.span("rules.ask_every")/2)
+	r.askAgain = r.now + r.askGap/2 + Tick(r.chance(int(r.askGap)))
+}
+
+// Listed takes the end of one piece of news of the list, or that a call failed.
+func (r *Relay) Listed(now Tick, ok bool) {
+	r.now = now
+	if r.word("discovery") == "subscribe" {
+		if !ok && !r.asking {
+			r.asking, r.askGap = true, Second/2
+			r.askAgain = now + Tick(r.chance(int(Second)))
+		} else if ok && now > r.born {
+			r.asking = false
+		}
+	}
+	r.serve()
+}
+
+// UnitListed takes what the list says of one unit, changed or not.
+func (r *Relay) UnitListed(now Tick, u *Unit, is Listing) {
+	r.now = now
+	if u.known && (is.Start != u.Start || is.Build != u.Build) { // another process: nothing known holds
+		u.acks, u.sends, u.doubt, u.aside, u.gap = nil, nil, 1, false, 0
+		u.heard, u.oldest = now, now
+	}
+	u.known = true
+	u.Listing = is
+	at := slices.Index(r.units, u)
+	switch {
+	case is.State == Ready && at < 0:
+		r.units = append(r.units, u)
+	case is.State != Ready && at >= 0:
+		r.units = slices.Delete(r.units, at, at+1)
+	}
+	if is.State == Ready {
+		r.judge(is.Build)
+	}
+}
+
+// judge starts to judge a build that is newer than all before it.
+func (r *Relay) judge(build uint16) {
+	j := r.judged
+	if j != nil && build <= j.build {
+		return
+	}
+	if j != nil && (!r.told || r.news.Build != j.build || r.news.Phase == Released) {
+		r.base = j.sample // it was kept: now it is the earlier build
+	}
+	r.judged = &trial{build: build, sample: r.newSample(), streams: make([]stream, len(r.opTypes)+2)}
+}
+
+// Stage takes news of the newest build, or the answer to a vote.
+func (r *Relay) Stage(now Tick, news StageNews) {
+	r.now = now
+	if news.Answer {
+		r.answered(news.Ending)
+	}
+	if news.Ending == Acked {
+		r.judge(news.Build)
+		old := r.news
+		r.news = news
+		if !r.told || old.Build != news.Build || old.Stage != news.Stage || old.Phase != news.Phase {
+			r.since = now - news.Age
+			r.judged.inStage = 0
+		}
+		if r.told && (news.Cap < old.Cap || old.Build != news.Build) {
+			// The lower cap holds at once over the old count; the rule counts anew later.
+			r.recount = now + r.span("rules.drain_grace") + 1
+		}
+		r.told = true
+	}
+	r.serve()
+	r.consider()
+}
+
+// verdict is what this relay would vote now.
+func (r *Relay) verdict() Verdict {
+	j := r.judged
+	if !r.told || j == nil || j.build != r.news.Build || r.news.Phase != OnTrial && r.news.Phase != Released {
+		return NoVote
+	}
+	if j.alarm != "" {
+		return GoBack
+	}
+	if r.news.Phase == Released {
+		return NoVote
+	}
+	wary := j.wary(len(r.opTypes))
+	if r.word("rollout.control") == "clocked" {
+		if wary {
+			return Hold
+		}
+		return NoVote
+	}
+	timed := r.now-r.since >= voteAfter && j.streams[0].n >= leastTimed
+	if !wary && (j.inStage >= leastSample || timed) {
+		return GoOn
+	}
+	return NoVote
+}
+
+// consider casts, renews or leaves the vote.
+func (r *Relay) consider() {
+	want, v := r.verdict(), &r.ballot
+	if want == NoVote {
+		if v.state == drawn {
+			v.state = noBallot
+		}
+		return
+	}
+	if v.state == noBallot || v.verdict != want || v.build != r.news.Build || v.stage != r.news.Stage {
+		*v = ballot{build: r.news.Build, stage: r.news.Stage, verdict: want, state: drawn}
+		// The moment is random over the time the platform needs for a vote of every
+		// relay, at most a vote's life: spread further, votes would only come later.
+		relays, rate := max(1, r.num("relays")), max(0.1, r.num("rollout.votes_per_s"))
+		life := r.span("rollout.vote_life")
+		v.at = r.now + Tick(r.chance(int(min(life, Tick(relays/rate*float64(Second)))+1)))
+		if allowed := rate * float64(life) / float64(Second) / relays; float64(r.chance(1000)) >= 1000*allowed {
+			v.state, v.at = stands, r.now+life // not this time
+		}
+	}
+	if r.now < v.at {
+		return
+	}
+	switch v.state {
+	case drawn:
+		v.state, v.at = cast, r.now+r.span("rollout.vote_wait")+Second
+		why := fmt.Sprintf("%d outcomes, none against it", r.judged.inStage)
+		if want != GoOn {
+			why = r.judged.alarm
+		}
+		r.host.Log(fmt.Sprintf("vote %d on build %d stage %d: %s", want, v.build, v.stage, why))
+		r.host.Vote(v.build, v.stage, want)
+	default: // no answer came, or it no longer stands: say it again
+		v.state = noBallot
+	}
+}
+
+// answered takes the platform's answer to the vote.
+func (r *Relay) answered(ending Ending) {
+	v := &r.ballot
+	if v.state != cast {
+		return
+	}
+	switch ending {
+	case Acked:
+		v.state, v.at = stands, r.now+r.span("rollout.vote_life")
+	default: // it may not count: again, after a moment
+		v.state, v.at = stands, r.now+Second/4+Tick(r.chance(int(Second/2)))
+	}
+}
+
+// WrongAnswer takes a late flag: one more outcome, scored 1, of the stream that
+// counts answers and flags; the margin shrinks with the share that is found.
+func (r *Relay) WrongAnswer(now Tick, u *Unit, opType int, age Tick) {
+	r.now = now
+	if r.judged != nil && u.Build == r.judged.build {
+		r.see(0, 1, r.base.share(-1)+margin, alpha)
+		r.see(len(r.judged.streams)-1, 1, margin*r.num("rollout.found_share")+0.005, alpha)
+	}
+	r.consider()
+}
+
+// Streaming takes the start of a streamed answer: the delivery is the client's now.
+func (r *Relay) Streaming(now Tick, d *Delivery) {
+	r.now = now
+	d.To.heard = now
+	d.Cmd.streaming = true
+	r.score(d, now-d.sent)
+}
+
+// Left takes that a client has gone: nothing is owed, and nothing more is sent.
+func (r *Relay) Left(now Tick, cmd *Command) {
+	r.now = now
+	cmd.answered = true
+	for _, d := range cmd.deliveries {
+		if !d.ended && !cmd.streaming && r.flag("limits.may_cancel") {
+			r.host.Cancel(d)
+		}
+	}
+}
+
+// Tally takes the platform's own count. The design judges by own outcomes alone.
+func (r *Relay) Tally(now Tick, build uint16, opType, many, failed int, took, age Tick) { r.now = now }
+
+// Probed takes the result of a probe; none is sent so far.
+func (r *Relay) Probed(now Tick, u *Unit, ending Ending, took Tick, load []float64) { r.now = now }
+
+// Told takes a message of another relay; none is sent so far.
+func (r *Relay) Told(now Tick, from uint32, data []byte) { r.now = now }
+
+func (r *Relay) newSample() *sample {
+	return &sample{bad: make([][]float64, len(r.opTypes)), took: make([][]Tick, len(r.opTypes))}
+}
+
+func (s *sample) add(op int, bad float64, took Tick) {
+	s.bad[op] = append(s.bad[op], bad)
+	s.bad[op] = s.bad[op][max(0, len(s.bad[op])-kept):]
+	s.took[op] = append(s.took[op], took)
+	s.took[op] = s.took[op][max(0, len(s.took[op])-kept):]
+}
+
+// share is the failure share of one op type, or of all (-1).
+func (s *sample) share(op int) float64 {
+	bad, n := 0.0, 0.0
+	for i := range s.bad {
+		if op == i || op < 0 {
+			for _, x := range s.bad[i] {
+				bad += x
+			}
+			n += float64(len(s.bad[i]))
+		}
+	}
+	return (bad + 0.5) / (n + 1)
+}
+
+// slow is the time that one in so many of the earlier build's deliveries exceeds.
+func (r *Relay) slow(op, oneIn int) Tick {
+	s := r.base
+	if len(s.took[op]) < 16 && r.judged != nil {
+		s = r.judged.sample
+	}
+	n := len(s.took[op])
+	if n < 16 {
+		return ticks(r.opTypes[op]["service_target"]) / 4
+	}
+	sorted := slices.Clone(s.took[op])
+	slices.Sort(sorted)
+	return sorted[n-1-n/oneIn]
+}
+
+// lateAfter is how long a delivery may take before it counts as timed out; a cold
+// unit gets the more time the colder it is, so that its coldness is not the build's.
+func (r *Relay) lateAfter(op int, u *Unit) Tick {
+	return Tick(lateness * float64(r.slow(op, 20)) / r.warmth(u))
+}
+
+func (r *Relay) lane(op int) *lane { return &r.lanes[min(op, len(r.lanes)-1)] }
+
+// chance draws from 0 to n-1 by multiply-with-carry.
+func (r *Relay) chance(n int) int {
+	t := 4294957665*uint64(r.x) + uint64(r.carry)
+	r.x, r.carry = uint32(t), uint32(t>>32)
+	return int(uint64(r.x) * uint64(max(n, 1)) >> 32)
+}
+
+func (r *Relay) num(name string) float64 { v, _ := r.set[name].(float64); return v }
+func (r *Relay) word(name string) string { v, _ := r.set[name].(string); return v }
+func (r *Relay) flag(name string) bool   { v, _ := r.set[name].(bool); return v }
+func (r *Relay) span(name string) Tick   { return ticks(r.set[name]) }
+func (r *Relay) word2(c *Command, name string) string {
+	v, _ := r.opTypes[c.OpType][name].(string)
+	return v
+}
+func (r *Relay) opSpan(c *Command, name string) Tick { return ticks(r.opTypes[c.OpType][name]) }
+
+func ticks(v any) Tick { f, _ := v.(float64); return Tick(f * float64(Second)) }
+
+// recent drops the times before a moment.
+func recent(times []Tick, from Tick) []Tick {
+	i := 0
+	for i < len(times) && times[i] < from {
+		i++
+	}
+	return times[i:]
+}
--- /dev/null
+++ b/choice/host.go
@@ -0,0 +1,146 @@
+package choice
+
+// Tick is a point or a span of time in whole tenths of a millisecond.
+type Tick int64
+
+// Second is one second in ticks.
+const Second Tick = 10000
+
+// Host is what the module acts through. Every call takes effect at the time of
+// the event that is being handled.
+type Host interface {
+	Deliver(d *Delivery, stopAt Tick)              // starts a delivery, the next number of its command
+	Nack(cmd *Command, comeBack Tick)              // final answer: trying again is harmless
+	Fail(cmd *Command)                             // final answer: no promise about the effect
+	Cancel(d *Delivery)                            // stops waiting for one delivery
+	WakeAt(at Tick, tag uint32)                    // Alarm(tag) at or after the time
+	Probe(u *Unit)                                 // checks a unit, where the settings allow it
+	CloseIdle(u *Unit)                             // closes idle connections to a unit
+	Tell(peer uint32, data []byte)                 // a message to one relay, AllPeers for every one
+	Log(text string)                               // a line for the people on call
+	Watch(on bool)                                 // asks for changes of the list of units
+	Fetch()                                        // asks for the whole list of units once
+	Vote(build uint16, stage int, verdict Verdict) // casts this relay's vote
+}
+
+// AllPeers names every relay of the tier in Tell.
+const AllPeers = ^uint32(0)
+
+// Verdict is what a vote says of a build.
+type Verdict uint8
+
+// The verdicts of a vote.
+const (
+	NoVote Verdict = iota
+	GoOn
+	Hold
+	GoBack
+)
+
+// Ending tells how a delivery, a probe or a vote ended.
+type Ending uint8
+
+// The endings.
+const (
+	Acked Ending = 1 + iota
+	Errored
+	Full
+	TimedOut
+	ConnectFailed
+	Reset
+	Cancelled
+	Moot
+)
+
+// Phase is where a build stands.
+type Phase uint8
+
+// The phases of a build.
+const (
+	OnTrial Phase = iota
+	RollingBack
+	Released
+	Withdrawn
+)
+
+// State is what the list says of a unit.
+type State uint8
+
+// The states of a unit.
+const (
+	Gone State = iota
+	Ready
+	Draining
+)
+
+// Command is one command that the relay has taken. The exported fields are set by
+// the front that took it; Door is that front's own name for it.
+type Command struct {
+	Door     uint64
+	OpType   int
+	Customer int
+	Key      uint64
+	NotAfter Tick
+	Work     Tick // 0: not known
+	Repeated bool
+	Write    bool
+
+	taken      Tick
+	deliveries []*Delivery
+	answered   bool
+	streaming  bool
+	held       bool
+}
+
+// Delivery is one try of a command at a unit.
+type Delivery struct {
+	Cmd *Command
+	No  int
+	To  *Unit
+
+	sent, due Tick // due: when it counts as timed out for the test
+	build     uint16
+	since     Tick // To's start as it was known when this was sent
+	first     bool
+	trial     bool
+	ended     bool
+	scored    bool
+	ending    Ending
+}
+
+// Listing is what the list of units says of one unit.
+type Listing struct {
+	Zone, Cell, Kind int
+	State            State
+	Nominal          float64
+	Start            Tick // 0: long ago
+	Build            uint16
+}
+
+// Unit is a server. Door is the front's own name for it.
+type Unit struct {
+	Door uint32
+	Listing
+
+	known    bool
+	inFlight int
+	oldest   Tick   // when the relay began to wait for any answer of this unit
+	heard    Tick   // the last answer
+	acks     []Tick // times of the last acked deliveries
+	sends    []Tick // sends within the cold window
+	doubt    float64
+	aside    bool
+	gap      Tick // between the deliveries of the trickle
+	nextTry  Tick
+}
+
+// StageNews is what the platform says of the newest build.
+type StageNews struct {
+	Build  uint16
+	Stage  int
+	Phase  Phase
+	Answer bool // the answer to a vote of this relay
+	Ending Ending
+	Cap    float64
+	Age    Tick
+}
--- /dev/null
+++ b/internal/drill/drill.go
@@ -0,0 +1,481 @@
+// Package drill joins the decision module to the bench's wire: what it reads
+// becomes calls on the module, and the module's calls on its host become messages.
+// It decides nothing.
+package drill
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+
+	"silvercove/choice"
+)
+
+// Codes of the records that come in.
+const (
+	evBorn = iota
+	evRosterChange
+	evSubmit
+	evStreaming
+	evFinished
+	evLeft
+	evAlarm
+	evEcho
+	evMemo
+	evDetach
+	evPromotion
+	evDigest
+	evDisputed
+	evCatalog
+)
+
+// Codes of the records that go out.
+const (
+	acSend = 64 + iota
+	acBounce
+	acSurrender
+	acAbortAttempt
+	acWakeAt
+	acTouch
+	acClose
+	acMemoTo
+	acSayLog
+	acFault
+	acTrack
+	acPull
+	acOpinion
+)
+
+// Kinds of news of the list.
+const (
+	listFull   = 0
+	listFailed = 1
+	listCached = 2
+	listDelta  = 3
+)
+
+// mostPages is how many numbered lists there can be.
+const mostPages = 16
+
+type entry struct {
+	unit    uint32
+	listing choice.Listing
+}
+
+// server is one process of the adapter, which may host several relays.
+type server struct {
+	relays map[uint32]*relay
+	pages  [mostPages][]entry
+	listed [mostPages]bool
+	out    writer
+}
+
+// relay holds one instance of the module and the names by which the wire calls
+// what the module points to.
+type relay struct {
+	number  uint32
+	out     *writer
+	module  *choice.Relay
+	opTypes int
+	cmds    map[uint64]*held
+	units   map[uint32]*choice.Unit
+	order   []uint32 // units in the order in which they were first named
+}
+
+// held is a command that the wire may still speak of.
+type held struct {
+	cmd      *choice.Command
+	sent     []*choice.Delivery
+	out      int
+	answered bool
+}
+
+// Serve answers batches until the input ends.
+func Serve(in io.Reader, out io.Writer) error {
+	s := &server{relays: map[uint32]*relay{}}
+	br, bw := bufio.NewReaderSize(in, 1<<16), bufio.NewWriterSize(out, 1<<16)
+	var buf []byte
+	for {
+		var head [4]byte
+		if _, err := io.ReadFull(br, head[:]); errors.Is(err, io.EOF) {
+			return nil
+		} else if err != nil {
+			return fmt.Errorf("frame length: %w", err)
+		}
+		var err error
+		if buf, err = readBody(br, buf[:0], int64(binary.LittleEndian.Uint32(head[:]))); err != nil {
+			return err
+		}
+		reply, fatal := s.batch(buf)
+		if reply != nil {
+			if _, err := bw.Write(reply); err != nil {
+				return fmt.Errorf("reply: %w", err)
+			}
+			if err := bw.Flush(); err != nil {
+				return fmt.Errorf("reply: %w", err)
+			}
+		}
+		if fatal != nil {
+			return fatal
+		}
+	}
+}
+
+// readBody reads n bytes in pieces, so that a false length costs no more memory
+// than the bytes that really come.
+func readBody(in io.Reader, buf []byte, n int64) ([]byte, error) {
+	const piece = 1 << 20
+	for n > 0 {
+		m := int(min(n, piece))
+		at := len(buf)
+		buf = slices.Grow(buf, m)[:at+m]
+		if got, err := io.ReadFull(in, buf[at:]); err != nil {
+			return nil, fmt.Errorf("frame cut short: %d bytes missing: %w", n-int64(got), err)
+		}
+		n -= int64(m)
+	}
+	return buf, nil
+}
+
+// batch handles one frame. A failure of the module goes out as a fault.
+func (s *server) batch(buf []byte) (reply []byte, err error) {
+	r := &reader{buf: buf}
+	now := r.tick("clock")
+	count := r.u32("record count")
+	s.out.begin()
+	var number uint32
+	defer func() {
+		if p := recover(); p != nil {
+			s.out.record(acFault, number)
+			s.out.bytes(fmt.Appendf(nil, "%v", p))
+			reply, err = s.out.finish(), fmt.Errorf("the module failed: %v", p)
+		}
+	}()
+	for i := uint32(0); i < count && r.err == nil; i++ {
+		if err := s.event(r, now, &number); err != nil {
+			return nil, fmt.Errorf("record %d: %w", i, err)
+		}
+		if r.err != nil {
+			return nil, fmt.Errorf("record %d: %w", i, r.err)
+		}
+	}
+	if r.err != nil {
+		return nil, fmt.Errorf("header: %w", r.err)
+	}
+	if r.at != len(buf) {
+		return nil, fmt.Errorf("%d bytes follow the last record", len(buf)-r.at)
+	}
+	return s.out.finish(), nil
+}
+
+// event reads one record and makes the call it stands for.
+func (s *server) event(r *reader, now choice.Tick, number *uint32) error {
+	code := r.u8("code")
+	if r.err == nil && code > evCatalog {
+		return fmt.Errorf("unknown code %d at byte %d", code, r.at-1)
+	}
+	if code == evCatalog {
+		return s.catalog(r)
+	}
+	*number = r.u32("relay_id")
+	if r.err != nil {
+		return nil // batch reports it
+	}
+	if code == evBorn {
+		return s.born(r, now, *number)
+	}
+	rl := s.relays[*number]
+	if rl == nil {
+		return fmt.Errorf("unknown instance %d", *number)
+	}
+	switch code {
+	case evRosterChange:
+		return s.roster(r, now, rl)
+	case evSubmit:
+		return rl.submit(r, now)
+	case evStreaming:
+		h, no := rl.cmds[r.u64("corr")], int(r.u8("send_no"))
+		r.u32("unit")
+		r.tick("wait_time")
+		if r.err == nil && h != nil && no < len(h.sent) {
+			rl.module.Streaming(now, h.sent[no])
+		}
+	case evFinished:
+		rl.finished(r, now)
+	case evLeft:
+		corr := r.u64("corr")
+		if h := rl.cmds[corr]; r.err == nil && h != nil {
+			h.answered = true
+			rl.module.Left(now, h.cmd)
+			rl.forget(corr, h)
+		}
+	case evAlarm:
+		if tag := r.u32("tag"); r.err == nil {
+			rl.module.Alarm(now, tag)
+		}
+	case evEcho:
+		ending, took := choice.Ending(r.u8("state_code")), r.tick("wait_time")
+		u, load := rl.units[r.u32("unit")], r.load()
+		if r.err == nil && u != nil {
+			rl.module.Probed(now, u, ending, took, load)
+		}
+	case evMemo:
+		from := r.u32("sender")
+		data := r.take(int(r.u16("data count")), "data")
+		if r.err == nil {
+			rl.module.Told(now, from, data)
+		}
+	case evDetach:
+		delete(s.relays, *number)
+	case evPromotion:
+		news := choice.StageNews{Build: r.u16("ver"), Stage: int(r.u8("ring"))}
+		news.Phase, news.Answer = choice.Phase(r.u8("where_at")), r.u8("code") == 1
+		news.Ending, news.Cap, news.Age = choice.Ending(r.u8("state_code")), r.f32("most_share"), r.tick("age")
+		if r.err == nil {
+			rl.module.Stage(now, news)
+		}
+	case evDigest:
+		build, opType := r.u16("ver"), int(r.u8("band"))
+		many, failed := int(r.u32("attempts")), int(r.u32("lost"))
+		took, age := r.tick("wait_time"), r.tick("age")
+		if r.err == nil && opType < rl.opTypes {
+			rl.module.Tally(now, build, opType, many, failed, took, age)
+		}
+	case evDisputed:
+		u, opType, age := rl.units[r.u32("unit")], int(r.u8("band")), r.tick("age")
+		if r.err == nil && u != nil && opType < rl.opTypes {
+			rl.module.WrongAnswer(now, u, opType, age)
+		}
+	}
+	return nil
+}
+
+func (s *server) born(r *reader, now choice.Tick, number uint32) error {
+	seed := r.u64("salt")
+	text := r.take(int(r.u32("info count")), "info")
+	if r.err != nil {
+		return nil
+	}
+	settings, err := readInfo(text)
+	if err != nil {
+		return err
+	}
+	rl := &relay{number: number, out: &s.out, cmds: map[uint64]*held{}, units: map[uint32]*choice.Unit{}}
+	rl.opTypes = len(settings["op_types"].([]map[string]any))
+	s.relays[number] = rl
+	rl.module = choice.New(rl, now, seed, settings)
+	return nil
+}
+
+func (s *server) catalog(r *reader) error {
+	const size = 26
+	page, count := r.u32("page"), int(r.u32("members_list count"))
+	if r.err == nil && page >= mostPages {
+		return fmt.Errorf("list number %d is over %d", page, mostPages-1)
+	}
+	if body := r.take(count*size, "members_list"); r.err != nil {
+		return nil
+	} else {
+		r.at -= len(body)
+	}
+	entries := make([]entry, 0, count)
+	for range count {
+		e := entry{unit: r.u32("unit")}
+		e.listing.Zone, e.listing.Kind = int(r.u16("dc")), int(r.u8("hw"))
+		e.listing.Cell, e.listing.State = int(r.u16("cluster")), choice.State(r.u8("health"))
+		e.listing.Nominal, e.listing.Start = r.f32("nominal"), r.tick("up_since")
+		e.listing.Build = uint16(r.f32("release"))
+		entries = append(entries, e)
+	}
+	s.pages[page], s.listed[page] = entries, true
+	return nil
+}
+
+func (s *server) roster(r *reader, now choice.Tick, rl *relay) error {
+	how := r.u8("how")
+	r.u32("seq_no")
+	page := r.u32("page")
+	if r.err != nil {
+		return nil
+	}
+	switch how {
+	case listFailed:
+		rl.module.Listed(now, false)
+		return nil
+	case listFull, listCached, listDelta:
+	default:
+		return fmt.Errorf("unknown kind of list %d", how)
+	}
+	if page >= mostPages || !s.listed[page] {
+		return fmt.Errorf("list number %d was never given", page)
+	}
+	named := map[uint32]bool{}
+	for _, e := range s.pages[page] {
+		u := rl.units[e.unit]
+		if u == nil {
+			u = &choice.Unit{Door: e.unit}
+			rl.units[e.unit] = u
+			rl.order = append(rl.order, e.unit)
+		}
+		named[e.unit] = true
+		rl.module.UnitListed(now, u, e.listing)
+	}
+	if how != listDelta { // a unit that a full list leaves out has gone
+		for _, id := range rl.order {
+			if u := rl.units[id]; !named[id] && u.State != choice.Gone {
+				listing := u.Listing
+				listing.State = choice.Gone
+				rl.module.UnitListed(now, u, listing)
+			}
+		}
+	}
+	rl.module.Listed(now, true)
+	return nil
+}
+
+// Bits of a command's opts.
+const (
+	optHint = 1 << iota
+	optRepeated
+	optWrite
+)
+
+func (rl *relay) submit(r *reader, now choice.Tick) error {
+	cmd := &choice.Command{Door: r.u64("corr"), OpType: int(r.u8("band"))}
+	cmd.Customer, cmd.Key = int(r.u32("project")), r.u64("name_key")
+	cmd.NotAfter = r.tick("not_after")
+	work, opts := r.tick("work"), r.u8("opts")
+	if r.err != nil {
+		return nil
+	}
+	if cmd.OpType >= rl.opTypes {
+		return fmt.Errorf("class %d of %d", cmd.OpType, rl.opTypes)
+	}
+	if opts&optHint != 0 {
+		cmd.Work = work
+	}
+	cmd.Repeated, cmd.Write = opts&optRepeated != 0, opts&optWrite != 0
+	rl.cmds[cmd.Door] = &held{cmd: cmd}
+	rl.module.Command(now, cmd)
+	return nil
+}
+
+func (rl *relay) finished(r *reader, now choice.Tick) {
+	corr, no := r.u64("corr"), int(r.u8("send_no"))
+	r.u32("unit")
+	ending, took := choice.Ending(r.u8("state_code")), r.tick("wait_time")
+	settled, load := r.u8("settled") != 0, r.load()
+	h := rl.cmds[corr]
+	if r.err != nil || h == nil || no >= len(h.sent) {
+		return
+	}
+	h.out--
+	h.answered = h.answered || settled
+	rl.module.Outcome(now, h.sent[no], ending, took, settled, load)
+	rl.forget(corr, h)
+}
+
+// forget drops a command that the wire will not speak of again.
+func (rl *relay) forget(corr uint64, h *held) {
+	if h.answered && h.out <= 0 {
+		delete(rl.cmds, corr)
+	}
+}
+
+// Deliver writes SEND.
+func (rl *relay) Deliver(d *choice.Delivery, stopAt choice.Tick) {
+	h := rl.cmds[d.Cmd.Door]
+	h.sent = append(h.sent, d)
+	h.out++
+	rl.out.record(acSend, rl.number)
+	rl.out.u64(d.Cmd.Door)
+	rl.out.u32(d.To.Door)
+	rl.out.tick(stopAt)
+}
+
+// Nack writes BOUNCE.
+func (rl *relay) Nack(cmd *choice.Command, comeBack choice.Tick) {
+	rl.out.record(acBounce, rl.number)
+	rl.out.u64(cmd.Door)
+	rl.out.tick(comeBack)
+	rl.end(cmd)
+}
+
+// Fail writes SURRENDER.
+func (rl *relay) Fail(cmd *choice.Command) {
+	rl.out.record(acSurrender, rl.number)
+	rl.out.u64(cmd.Door)
+	rl.end(cmd)
+}
+
+func (rl *relay) end(cmd *choice.Command) {
+	if h := rl.cmds[cmd.Door]; h != nil {
+		h.answered = true
+		rl.forget(cmd.Door, h)
+	}
+}
+
+// Cancel writes ABORT_ATTEMPT.
+func (rl *relay) Cancel(d *choice.Delivery) {
+	rl.out.record(acAbortAttempt, rl.number)
+	rl.out.u64(d.Cmd.Door)
+	rl.out.u8(uint8(d.No))
+}
+
+// WakeAt writes WAKE_AT.
+func (rl *relay) WakeAt(at choice.Tick, tag uint32) {
+	rl.out.record(acWakeAt, rl.number)
+	rl.out.tick(at)
+	rl.out.u32(tag)
+}
+
+// Probe writes TOUCH.
+func (rl *relay) Probe(u *choice.Unit) {
+	rl.out.record(acTouch, rl.number)
+	rl.out.u32(u.Door)
+}
+
+// CloseIdle writes CLOSE.
+func (rl *relay) CloseIdle(u *choice.Unit) {
+	rl.out.record(acClose, rl.number)
+	rl.out.u32(u.Door)
+}
+
+// Tell writes MEMO_TO.
+func (rl *relay) Tell(peer uint32, data []byte) {
+	rl.out.record(acMemoTo, rl.number)
+	rl.out.u32(peer)
+	rl.out.bytes(data)
+}
+
+// Log writes SAY_LOG.
+func (rl *relay) Log(text string) {
+	rl.out.record(acSayLog, rl.number)
+	rl.out.bytes([]byte(text))
+}
+
+// Watch writes TRACK.
+func (rl *relay) Watch(on bool) {
+	rl.out.record(acTrack, rl.number)
+	if on {
+		rl.out.u8(1)
+	} else {
+		rl.out.u8(0)
+	}
+}
+
+// Fetch writes PULL.
+func (rl *relay) Fetch() {
+	rl.out.record(acPull, rl.number)
+}
+
+// Vote writes OPINION.
+func (rl *relay) Vote(build uint16, stage int, verdict choice.Verdict) {
+	rl.out.record(acOpinion, rl.number)
+	rl.out.u16(build)
+	rl.out.u8(uint8(stage))
+	rl.out.u8(uint8(verdict))
+}
