--- a/choice/choice.go
+++ b/choice/choice.go
@@ -214,11 +214,11 @@
 	}
 
 	d := &Delivery{Cmd: cmd, No: len(cmd.deliveries), To: u, sent: r.now, build: u.Build, since: u.Start}
-	late := r.lateAfter(cmd.OpType, u)
-	d.due = r.now + late
+	target := r.opSpan(cmd, "service_target")
+	d.due = r.now + Tick(float64(max(target, r.usual(cmd.OpType)))/r.warmth(u))
 	stop := cmd.NotAfter
 	if r.word2(cmd, "repeats") != "at_most_once" && d.No+1 < int(r.num("limits.max_deliveries")) {
-		stop = min(stop, r.now+max(late, r.opSpan(cmd, "service_target")*6/10))
+		stop = min(stop, r.now+max(r.usual(cmd.OpType), target*3/4))
 	}
 	if r.onTrial(u.Build) {
 		l.sent = append(l.sent, r.now)
@@ -268,9 +268,9 @@
 func (r *Relay) patience(u *Unit) Tick {
 	p := Tick(0)
 	for op := range r.opTypes {
-		p = max(p, r.lateAfter(op, u))
+		p = max(p, r.usual(op))
 	}
-	return p
+	return Tick(float64(p) / r.warmth(u))
 }
 
 // room bounds what is in flight at a unit by what it answered of late, so that a
@@ -281,11 +281,12 @@
 	for _, t := range r.opTypes {
 		target = min(target, ticks(t["service_target"]))
 	}
+	least := roomLeast * r.warmth(u)
 	if len(u.acks) < 2 {
-		return roomLeast
+		return least
 	}
 	rate := float64(len(u.acks)) / float64(max(1, r.now-u.acks[0]))
-	return roomLeast + roomPart*rate*float64(target)
+	return least + roomPart*rate*float64(target)
 }
 
 // warmth is the part of its capacity that a unit has at the least.
@@ -298,6 +299,14 @@
 	return from + (1-from)*float64(max(0, r.now-u.Start))/float64(cold)
 }
 
+// warmthAt is the same for a delivery, when it was sent.
+func (r *Relay) warmthAt(d *Delivery) float64 {
+	if d.since == 0 || d.sent-d.since >= r.span("rules.cold") {
+		return 1
+	}
+	return 0
+}
+
 // coldRoom keeps this relay's part of the cold budget: a part of what the rule
 // allows, in terms of what this relay's warm units answer. As every relay keeps to
 // its own warm rate, all together stay under the rule without speaking.
@@ -352,6 +361,9 @@
 	}
 	window := r.span("rollout.exposure_window") + 1
 	l.sent, l.taken = recent(l.sent, r.now-window-1), recent(l.taken, r.now-window+2)
+	if r.recount != 0 && r.now > r.recount { // a lowered cap has bound since
+		l.sent, l.taken = recent(l.sent, r.recount-1), recent(l.taken, r.recount+1)
+	}
 	free := r.num("rollout.exposure_free")
 	if r.now <= r.born+window {
 		free = 0 // this relay may have been killed just now, and its sends still count
@@ -513,7 +525,13 @@
 	if (wasAside || silent) && r.othersAnswer(u, d) {
 		return
 	}
+	if bad > 0 && r.warmthAt(d) < 1 && (!d.ended || d.ending == Acked || d.ending == TimedOut) {
+		return // late from a cold unit: that is its coldness, not the build's doing
+	}
 	j := r.judged
+	if d.ended && d.ending == Acked && j != nil {
+		r.answer(d.build, 0)
+	}
 	switch {
 	case j == nil || d.build > j.build:
 	case d.build < j.build:
@@ -530,6 +548,20 @@
 	}
 }
 
+// answer gives an answer (0) or a flag (1) to the stream that counts wrong answers;
+// its margin shrinks with the share of wrong answers that is found.
+func (r *Relay) answer(build uint16, x float64) {
+	j, last := r.judged, len(r.opTypes)
+	switch {
+	case r.num("rollout.found_share") == 0:
+	case build == j.build:
+		j.sample.add(last, x, 0)
+		r.see(1+last, x, r.base.share(last)+margin*r.num("rollout.found_share"), alpha)
+	case build < j.build:
+		r.base.add(last, x, 0)
+	}
+}
+
 // othersAnswer says whether another unit of the build has answered since.
 func (r *Relay) othersAnswer(u *Unit, d *Delivery) bool {
 	return slices.ContainsFunc(r.units, func(o *Unit) bool {
@@ -639,12 +671,6 @@
 	}
 	r.perUnit = float64(len(r.acks)) * float64(Second) / float64(rateSpan) / max(whole, 1)
 	r.panicky = 2*aside > len(r.units)
-	if r.recount != 0 && now > r.recount {
-		r.recount = 0
-		for i := range r.lanes {
-			r.lanes[i] = lane{}
-		}
-	}
 	if r.asking && now >= r.askAgain {
 		r.ask()
 	}
@@ -715,16 +741,15 @@
 	if news.Ending == Acked {
 		r.judge(news.Build)
 		old := r.news
-		r.news = news
 		if !r.told || old.Build != news.Build || old.Stage != news.Stage || old.Phase != news.Phase {
 			r.since = now - news.Age
 			r.judged.inStage = 0
 		}
-		if r.told && (news.Cap < old.Cap || old.Build != news.Build) {
+		if bound, _ := r.capOf(news.Build); r.told && old.Phase != Released && news.Cap < bound {
 			// The lower cap holds at once over the old count; the rule counts anew later.
 			r.recount = now + r.span("rules.drain_grace") + 1
 		}
-		r.told = true
+		r.news, r.told = news, true
 	}
 	r.serve()
 	r.consider()
@@ -807,13 +832,14 @@
 	}
 }
 
-// WrongAnswer takes a late flag: one more outcome, scored 1, of the stream that
-// counts answers and flags; the margin shrinks with the share that is found.
+// WrongAnswer takes a late flag: one more outcome, scored 1.
 func (r *Relay) WrongAnswer(now Tick, u *Unit, opType int, age Tick) {
 	r.now = now
-	if r.judged != nil && u.Build == r.judged.build {
-		r.see(0, 1, r.base.share(-1)+margin, alpha)
-		r.see(len(r.judged.streams)-1, 1, margin*r.num("rollout.found_share")+0.005, alpha)
+	if r.judged != nil {
+		r.answer(u.Build, 1)
+		if u.Build == r.judged.build {
+			r.see(0, 1, r.base.share(-1)+margin, alpha)
+		}
 	}
 	r.consider()
 }
@@ -847,7 +873,7 @@
 func (r *Relay) Told(now Tick, from uint32, data []byte) { r.now = now }
 
 func (r *Relay) newSample() *sample {
-	return &sample{bad: make([][]float64, len(r.opTypes)), took: make([][]Tick, len(r.opTypes))}
+	return &sample{bad: make([][]float64, len(r.opTypes)+1), took: make([][]Tick, len(r.opTypes)+1)}
 }
 
 func (s *sample) add(op int, bad float64, took Tick) {
@@ -857,11 +883,11 @@
 	s.took[op] = s.took[op][max(0, len(s.took[op])-kept):]
 }
 
-// share is the failure share of one op type, or of all (-1).
+// share is the failure share of one op type, or of all (-1), or the flagged share.
 func (s *sample) share(op int) float64 {
 	bad, n := 0.0, 0.0
 	for i := range s.bad {
-		if op == i || op < 0 {
+		if op == i || op < 0 && i < len(s.bad)-1 {
 			for _, x := range s.bad[i] {
 				bad += x
 			}
@@ -886,11 +912,8 @@
 	return sorted[n-1-n/oneIn]
 }
 
-// lateAfter is how long a delivery may take before it counts as timed out; a cold
-// unit gets the more time the colder it is, so that its coldness is not the build's.
-func (r *Relay) lateAfter(op int, u *Unit) Tick {
-	return Tick(lateness * float64(r.slow(op, 20)) / r.warmth(u))
-}
+// usual is what a delivery hardly ever takes longer than at the earlier build.
+func (r *Relay) usual(op int) Tick { return Tick(lateness * float64(r.slow(op, 20))) }
 
 func (r *Relay) lane(op int) *lane { return &r.lanes[min(op, len(r.lanes)-1)] }
 
