Follow the machines that have come, bound rooms at one, rescue only from silent units

A baseline that may rise only 0.1 in a trial guards against builds that slow every unit; it may harm a good build whose trial meets a fleet-wide trouble.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -31,11 +31,12 @@
 	leastSample = 20   // outcomes in a stage before a vote to go on
 	leastTimed  = 6    // outcomes of the build before a timed vote to go on
 	voteAfter   = 3 * Second
-	kept        = 64 // samples of an op type at one build
+	excuse      = 0.1 // what the earlier build's share may rise during a trial
+	kept        = 64  // samples of an op type at one build
 	sweepEvery  = 50 * Second / 1000
 	lateness    = 2.0            // times the earlier build's slow deliveries
 	roomPart    = 0.5            // of a service target: what a unit may owe
-	roomLeast   = 3              // deliveries in flight that every unit may have
+	roomLeast   = 1.0            // delivery in flight that every warm unit may have
 	coldPart    = 0.6            // of what the cold rule allows
 	rateSpan    = 2 * Second     // over which the relay's own rate is taken
 	doubtUp     = 3.0            // a unit's doubt, times this for a failure
@@ -61,6 +62,7 @@
 	out     []*Delivery // not ended, oldest first
 	acks    []Tick      // of the last rateSpan
 	perUnit float64     // acked a second at a warm unit, this relay's part
+	fair    float64     // part of the commands that the units of the build on trial can take
 	panicky bool        // so many units are set aside that the test says nothing
 
 	lanes   []lane // what the exposure rule counts: all, or one an op type
@@ -97,6 +99,7 @@
 	sample  *sample
 	streams []stream // all outcomes, one an op type, wrong answers
 	inStage int
+	before  float64 // the earlier build's failure share when this one came
 	alarm   string
 }
 
@@ -155,7 +158,7 @@
 	cmd.taken = now
 	l := r.lane(cmd.OpType)
 	l.taken = append(l.taken, now)
-	l.credit = min(l.credit+capUse*r.trialCap(), max(1, r.num("rollout.exposure_free")))
+	l.credit = min(l.credit+capUse*min(r.trialCap(), r.fair), max(1, r.num("rollout.exposure_free")))
 	r.held = append(r.held, cmd)
 	cmd.held = true
 	r.serve()
@@ -216,10 +219,6 @@
 	d := &Delivery{Cmd: cmd, No: len(cmd.deliveries), To: u, sent: r.now, build: u.Build, since: u.Start}
 	target := r.opSpan(cmd, "service_target")
 	d.due = r.now + Tick(float64(max(target, r.usual(cmd.OpType)))/r.warmth(u))
-	stop := cmd.NotAfter
-	if r.word2(cmd, "repeats") != "at_most_once" && d.No+1 < int(r.num("limits.max_deliveries")) {
-		stop = min(stop, r.now+max(r.usual(cmd.OpType), target*3/4))
-	}
 	if r.onTrial(u.Build) {
 		l.sent = append(l.sent, r.now)
 		l.credit = max(0, l.credit-1)
@@ -236,7 +235,7 @@
 	u.inFlight++
 	cmd.deliveries = append(cmd.deliveries, d)
 	r.out = append(r.out, d)
-	r.host.Deliver(d, stop)
+	r.host.Deliver(d, cmd.NotAfter)
 	return true
 }
 
@@ -254,14 +253,16 @@
 	}
 	if r.doubted(u) && !r.panicky {
 		// A trickle of commands that can be tried again tells whether it has come back.
-		return r.now >= u.nextTry && u.inFlight < roomLeast && r.word2(cmd, "repeats") != "at_most_once"
+		return r.now >= u.nextTry && u.inFlight < 2 && r.word2(cmd, "repeats") != "at_most_once"
 	}
 	return float64(u.inFlight) < r.room(u) && r.coldRoom(u)
 }
 
 // doubted: the unit was set aside, or owes an answer for longer than is usual.
-func (r *Relay) doubted(u *Unit) bool {
-	return u.aside || u.inFlight > 0 && r.now-max(u.heard, u.oldest) > r.patience(u)
+func (r *Relay) doubted(u *Unit) bool { return u.aside || r.silent(u) }
+
+func (r *Relay) silent(u *Unit) bool {
+	return u.inFlight > 0 && r.now-max(u.heard, u.oldest) > r.patience(u)
 }
 
 // patience is how long a unit with something in flight may stay silent.
@@ -335,10 +336,7 @@
 	if build == r.news.Build {
 		return r.news.Cap, r.news.Stage
 	}
-	if caps, ok := r.set["rollout.caps"].([]any); ok && len(caps) > 0 {
-		share, _ = caps[0].(float64)
-	}
-	return share, 0
+	return r.first("rollout.caps"), 0
 }
 
 // trialCap is the cap of the newest build, 0 where nothing is on trial.
@@ -543,11 +541,19 @@
 			bad = 0 // released: with no earlier build to compare, slowness says nothing of the build
 		}
 		j.inStage++
-		r.see(0, bad, r.base.share(-1)+margin, alpha)
-		r.see(1+d.Cmd.OpType, bad, r.base.share(d.Cmd.OpType)+margin, alpha/float64(len(r.opTypes)))
+		r.see(0, bad, r.edge(-1), alpha)
+		r.see(1+d.Cmd.OpType, bad, r.edge(d.Cmd.OpType), alpha/float64(len(r.opTypes)))
 	}
 }
 
+// edge is what an outcome is held against: the earlier build's failure share, plus the
+// margin. Units of the earlier build excuse no more than a little above what they failed
+// before the trial: guards against a build that slows every unit, old and new, with the
+// traffic it gets; hurts a good build whose trial meets a trouble of the whole fleet.
+func (r *Relay) edge(op int) float64 {
+	return min(r.base.share(op), r.judged.before+excuse) + margin
+}
+
 // answer gives an answer (0) or a flag (1) to the stream that counts wrong answers;
 // its margin shrinks with the share of wrong answers that is found.
 func (r *Relay) answer(build uint16, x float64) {
@@ -660,16 +666,24 @@
 		if now > d.due {
 			r.score(d, now-d.sent)
 		}
+		r.rescue(d)
 	}
 	r.acks = recent(r.acks, now-rateSpan)
-	whole, aside := 0.0, 0
+	whole, trial, aside := 0.0, 0.0, 0
 	for _, u := range r.units {
 		whole += r.warmth(u)
+		if r.onTrial(u.Build) {
+			trial += r.warmth(u)
+		}
 		if r.doubted(u) {
 			aside++
 		}
 	}
 	r.perUnit = float64(len(r.acks)) * float64(Second) / float64(rateSpan) / max(whole, 1)
+	// A cap is told before its machines have come and warmed. Until then trial sends keep to
+	// the machines' part of the fleet, with the slack that the first stage's cap gives over
+	// its share; once they run warm the cap alone binds. Guards against drowning the few.
+	r.fair = trial / max(whole, 1) * r.first("rollout.caps") / max(r.first("rollout.stage_shares"), 0.01)
 	r.panicky = 2*aside > len(r.units)
 	if r.asking && now >= r.askAgain {
 		r.ask()
@@ -678,6 +692,23 @@
 	r.consider()
 }
 
+// rescue calls off a delivery at a silent unit, so that another unit can serve the
+// command within its target. Guards against dead and hung units and cut links; a unit
+// that still answers is left alone, as trying again would only add to its load.
+func (r *Relay) rescue(d *Delivery) {
+	cmd := d.Cmd
+	if d.cancelled || cmd.answered || cmd.streaming || !r.flag("limits.may_cancel") ||
+		!r.silent(d.To) || r.now-d.sent < r.patience(d.To) || r.now >= r.lastStart(cmd) {
+		return
+	}
+	if again := r.word2(cmd, "repeats"); again == "at_most_once" || d.No+1 >= int(r.num("limits.max_deliveries")) {
+		return
+	}
+	d.cancelled = true
+	r.weigh(d.To, true)
+	r.host.Cancel(d)
+}
+
 // ask asks for the list's changes again, less often after each failure.
 func (r *Relay) ask() {
 	r.host.Watch(true)
@@ -729,7 +760,7 @@
 	if j != nil && (!r.told || r.news.Build != j.build || r.news.Phase == Released) {
 		r.base = j.sample // it was kept: now it is the earlier build
 	}
-	r.judged = &trial{build: build, sample: r.newSample(), streams: make([]stream, len(r.opTypes)+2)}
+	r.judged = &trial{build: build, before: r.base.share(-1), sample: r.newSample(), streams: make([]stream, len(r.opTypes)+2)}
 }
 
 // Stage takes news of the newest build, or the answer to a vote.
@@ -838,7 +869,7 @@
 	if r.judged != nil {
 		r.answer(u.Build, 1)
 		if u.Build == r.judged.build {
-			r.see(0, 1, r.base.share(-1)+margin, alpha)
+			r.see(0, 1, r.edge(-1), alpha)
 		}
 	}
 	r.consider()
@@ -925,6 +956,13 @@
 }
 
 func (r *Relay) num(name string) float64 { v, _ := r.set[name].(float64); return v }
+func (r *Relay) first(name string) float64 {
+	if l, _ := r.set[name].([]any); len(l) > 0 {
+		f, _ := l[0].(float64)
+		return f
+	}
+	return 0
+}
 func (r *Relay) word(name string) string { v, _ := r.set[name].(string); return v }
 func (r *Relay) flag(name string) bool   { v, _ := r.set[name].(bool); return v }
 func (r *Relay) span(name string) Tick   { return ticks(r.set[name]) }
--- a/choice/host.go
+++ b/choice/host.go
@@ -105,6 +105,7 @@
 	trial     bool
 	ended     bool
 	scored    bool
+	cancelled bool
 	ending    Ending
 }
 
