--- a/choice/choice.go
+++ b/choice/choice.go
@@ -39,8 +39,7 @@
 	roomLeast   = 1.0            // delivery in flight that every warm unit may have
 	coldPart    = 0.6            // of what the cold rule allows
 	rateSpan    = 2 * Second     // over which the relay's own rate is taken
-	doubtUp     = 3.0            // a unit's doubt, times this for a failure
-	doubtDown   = 0.5            // and this for a success
+	failing     = 0.75           // failure share of a unit that is to be set aside
 	doubtAside  = 27.0           // sets a unit aside
 	gapFirst    = Second / 2     // between the first deliveries of a trickle
 	gapMost     = 4 * Second     // after failures
@@ -57,13 +56,18 @@
 	born     Tick
 	x, carry uint32 // chance
 
-	units   []*Unit // those listed as ready, in the order of listing
-	held    []*Command
-	out     []*Delivery // not ended, oldest first
-	acks    []Tick      // of the last rateSpan
-	perUnit float64     // acked a second at a warm unit, this relay's part
-	fair    float64     // part of the commands that the units of the build on trial can take
-	panicky bool        // so many units are set aside that the test says nothing
+	units    []*Unit    // those listed as ready, in the order of listing
+	held     []*Command // those without a unit, in the order of their end
+	scratch  []*Command
+	common   float64     // the failure share of a unit in the middle of the fleet
+	out      []*Delivery // not ended, oldest first
+	acks     []Tick      // of the last rateSpan
+	perUnit  float64     // acked a second at a warm unit, this relay's part
+	fair     float64     // part of the commands that the units of the build on trial can take
+	took     [][]Tick    // the last acked deliveries of each op type, at any build
+	typical  []Tick      // what one in four of them exceeds
+	patience Tick        // how long a unit may stay silent
+	target   Tick        // the least service target
 
 	lanes   []lane // what the exposure rule counts: all, or one an op type
 	news    StageNews
@@ -72,9 +76,10 @@
 	recount Tick // when a lower cap binds and the count starts anew
 	forward map[uint64]bool
 
-	base   *sample // of the earlier build
-	judged *trial
-	ballot ballot
+	base     *sample // of the earlier build
+	compared Tick    // when it last gave an outcome
+	judged   *trial
+	ballot   ballot
 
 	asking   bool
 	askAgain Tick
@@ -89,8 +94,7 @@
 
 // sample is the last outcomes at one build, for each op type.
 type sample struct {
-	bad  [][]float64
-	took [][]Tick
+	bad [][]float64
 }
 
 // trial is the judging of one build.
@@ -143,6 +147,12 @@
 		r.lanes = make([]lane, len(r.opTypes))
 	}
 	r.base = r.newSample()
+	r.took, r.typical = make([][]Tick, len(r.opTypes)), make([]Tick, len(r.opTypes))
+	r.target = Tick(math.MaxInt64)
+	for _, t := range r.opTypes {
+		r.target = min(r.target, ticks(t["service_target"]))
+	}
+	r.figure()
 	if r.word("discovery") == "subscribe" {
 		r.host.Watch(true)
 		r.asking, r.askGap = true, Second
@@ -159,32 +169,39 @@
 	l := r.lane(cmd.OpType)
 	l.taken = append(l.taken, now)
 	l.credit = min(l.credit+capUse*min(r.trialCap(), r.fair), max(1, r.num("rollout.exposure_free")))
-	r.held = append(r.held, cmd)
-	cmd.held = true
+	r.hold(cmd)
 	r.serve()
 }
 
-// serve routes what is held, the most urgent first, until one finds no unit.
-func (r *Relay) serve() {
-	if len(r.held) > 1 {
-		slices.SortStableFunc(r.held, func(a, b *Command) int { return int(r.lastStart(a) - r.lastStart(b)) })
+// hold keeps a command in the order in which commands lose their use.
+func (r *Relay) hold(cmd *Command) {
+	cmd.held = true
+	cmd.end = cmd.NotAfter - 1
+	if ofUse, _ := r.opTypes[cmd.OpType]["late_importance"].(float64); ofUse == 0 {
+		cmd.end = min(cmd.end, cmd.taken+r.opSpan(cmd, "service_target"))
 	}
-	left := r.held[:0]
-	stuck := 0
-	for i, cmd := range r.held {
+	at, _ := slices.BinarySearchFunc(r.held, cmd.end+1, func(c *Command, end Tick) int { return int(c.end - end) })
+	r.held = slices.Insert(r.held, at, cmd)
+}
+
+// serve routes what is held, the most urgent first, until a few find no unit.
+func (r *Relay) serve() {
+	left, stuck, i := r.scratch[:0], 0, 0
+	for ; i < len(r.held) && stuck < 4; i++ {
+		cmd := r.held[i]
 		switch {
 		case cmd.answered:
-		case r.now >= r.lastStart(cmd):
+		case r.now >= cmd.end-r.typical[cmd.OpType]:
 			r.giveUp(cmd)
-		case stuck < 4 && r.route(cmd):
+		case r.route(cmd):
 			cmd.held = false
 		default:
 			stuck++
-			left = append(left, r.held[i])
+			left = append(left, cmd)
 		}
 	}
-	clear(r.held[len(left):])
-	r.held = left
+	r.scratch = left
+	r.held = slices.Replace(r.held, 0, i, left...)
 }
 
 // route is the ordinary path of a command: which build, which unit, how long.
@@ -218,7 +235,7 @@
 
 	d := &Delivery{Cmd: cmd, No: len(cmd.deliveries), To: u, sent: r.now, build: u.Build, since: u.Start}
 	target := r.opSpan(cmd, "service_target")
-	d.due = r.now + Tick(float64(max(target, r.usual(cmd.OpType)))/r.warmth(u))
+	d.due = r.now + Tick(float64(target)/r.warmth(u))
 	if r.onTrial(u.Build) {
 		l.sent = append(l.sent, r.now)
 		l.credit = max(0, l.credit-1)
@@ -251,7 +268,7 @@
 		(r.news.Phase == OnTrial || r.news.Phase == Released) {
 		return false
 	}
-	if r.doubted(u) && !r.panicky {
+	if r.doubted(u) {
 		// A trickle of commands that can be tried again tells whether it has come back.
 		return r.now >= u.nextTry && u.inFlight < 2 && r.word2(cmd, "repeats") != "at_most_once"
 	}
@@ -262,32 +279,19 @@
 func (r *Relay) doubted(u *Unit) bool { return u.aside || r.silent(u) }
 
 func (r *Relay) silent(u *Unit) bool {
-	return u.inFlight > 0 && r.now-max(u.heard, u.oldest) > r.patience(u)
-}
-
-// patience is how long a unit with something in flight may stay silent.
-func (r *Relay) patience(u *Unit) Tick {
-	p := Tick(0)
-	for op := range r.opTypes {
-		p = max(p, r.usual(op))
-	}
-	return Tick(float64(p) / r.warmth(u))
+	return u.inFlight > 0 && float64(r.now-max(u.heard, u.oldest))*r.warmth(u) > float64(r.patience)
 }
 
 // room bounds what is in flight at a unit by what it answered of late, so that a
 // slow or overfull unit fills up no further. Guards against slow units, overload
 // and queues that outlast the service target; hurts right after an idle spell.
 func (r *Relay) room(u *Unit) float64 {
-	target := Tick(math.MaxInt64)
-	for _, t := range r.opTypes {
-		target = min(target, ticks(t["service_target"]))
-	}
 	least := roomLeast * r.warmth(u)
 	if len(u.acks) < 2 {
 		return least
 	}
 	rate := float64(len(u.acks)) / float64(max(1, r.now-u.acks[0]))
-	return least + roomPart*rate*float64(target)
+	return least + roomPart*rate*float64(r.target)
 }
 
 // warmth is the part of its capacity that a unit has at the least.
@@ -435,15 +439,6 @@
 	r.host.Nack(cmd, back)
 }
 
-// lastStart is when a held command must start to be of use.
-func (r *Relay) lastStart(cmd *Command) Tick {
-	end := cmd.NotAfter - 1
-	if ofUse, _ := r.opTypes[cmd.OpType]["late_importance"].(float64); ofUse == 0 {
-		end = min(end, cmd.taken+r.opSpan(cmd, "service_target"))
-	}
-	return end - r.slow(cmd.OpType, 2)
-}
-
 // Outcome takes the end of a delivery.
 func (r *Relay) Outcome(now Tick, d *Delivery, ending Ending, took Tick, settled bool, load []float64) {
 	r.now = now
@@ -463,6 +458,8 @@
 		u.acks = append(u.acks, now)
 		u.acks = u.acks[max(0, len(u.acks)-16):]
 		r.acks = append(r.acks, now)
+		r.took[cmd.OpType] = append(r.took[cmd.OpType], took)
+		r.took[cmd.OpType] = r.took[cmd.OpType][max(0, len(r.took[cmd.OpType])-kept):]
 		if key := cmd.Key; key != 0 && d.build == r.news.Build && r.flag("rollout.forward_only") {
 			r.forward[key] = true
 		}
@@ -472,11 +469,10 @@
 		cmd.answered = true
 	}
 	if !cmd.answered && !cmd.held {
-		cmd.held = true
-		if ending != Acked && !r.anyRepeat(cmd) {
-			r.giveUp(cmd)
+		if r.anyRepeat(cmd) {
+			r.hold(cmd)
 		} else {
-			r.held = append(r.held, cmd)
+			r.giveUp(cmd)
 		}
 	}
 	r.serve()
@@ -506,6 +502,9 @@
 		bad = 1
 	case d.ending == Acked && late:
 		bad = 1
+	case d.ending == Full:
+		r.weigh(u, true)
+		return // never looked at: a drained unit on an old list, or a full one
 	case d.ending != Acked:
 		return // never looked at, or called off: says nothing
 	}
@@ -533,12 +532,12 @@
 	switch {
 	case j == nil || d.build > j.build:
 	case d.build < j.build:
-		r.base.add(d.Cmd.OpType, bad, took)
+		r.base.add(d.Cmd.OpType, bad)
+		r.compared = r.now
 	default:
-		j.sample.add(d.Cmd.OpType, bad, took)
-		if r.told && r.news.Build == j.build && r.news.Phase == Released &&
-			!(d.ended && (d.ending == Errored || d.ending == Reset)) {
-			bad = 0 // released: with no earlier build to compare, slowness says nothing of the build
+		j.sample.add(d.Cmd.OpType, bad)
+		if r.now-r.compared > Second && !(d.ended && (d.ending == Errored || d.ending == Reset)) {
+			bad = 0 // no earlier build to compare with: slowness says nothing of the build
 		}
 		j.inStage++
 		r.see(0, bad, r.edge(-1), alpha)
@@ -561,10 +560,10 @@
 	switch {
 	case r.num("rollout.found_share") == 0:
 	case build == j.build:
-		j.sample.add(last, x, 0)
+		j.sample.add(last, x)
 		r.see(1+last, x, r.base.share(last)+margin*r.num("rollout.found_share"), alpha)
 	case build < j.build:
-		r.base.add(last, x, 0)
+		r.base.add(last, x)
 	}
 }
 
@@ -575,15 +574,21 @@
 	})
 }
 
-// weigh is the sequential test on a unit's outcomes, and its trickle.
+// weigh is the sequential test on a unit's outcomes, and its trickle. It bets on a unit
+// that fails most of its deliveries against one that fails as the middle of the fleet
+// does, so that a trouble of all units sets none aside.
 func (r *Relay) weigh(u *Unit, bad bool) {
+	usual := min(max(0.2, 1.5*r.common), 0.7)
 	if bad {
-		u.doubt = max(1, u.doubt) * doubtUp
+		u.doubt = max(1, u.doubt) * failing / usual
 		u.gap = min(max(u.gap*2, gapFirst), gapMost)
+		u.marks = append(u.marks, 1)
 	} else {
-		u.doubt = max(1, u.doubt*doubtDown)
+		u.doubt = max(1, u.doubt*(1-failing)/(1-usual))
 		u.gap /= 2
+		u.marks = append(u.marks, 0)
 	}
+	u.marks = u.marks[max(0, len(u.marks)-16):]
 	switch {
 	case !u.aside && u.doubt >= doubtAside:
 		u.aside = true
@@ -668,15 +673,16 @@
 		}
 		r.rescue(d)
 	}
+	r.figure()
 	r.acks = recent(r.acks, now-rateSpan)
-	whole, trial, aside := 0.0, 0.0, 0
+	whole, trial, shares := 0.0, 0.0, []float64{0}
 	for _, u := range r.units {
 		whole += r.warmth(u)
 		if r.onTrial(u.Build) {
 			trial += r.warmth(u)
 		}
-		if r.doubted(u) {
-			aside++
+		if len(u.marks) > 0 {
+			shares = append(shares, mean(u.marks))
 		}
 	}
 	r.perUnit = float64(len(r.acks)) * float64(Second) / float64(rateSpan) / max(whole, 1)
@@ -684,7 +690,8 @@
 	// the machines' part of the fleet, with the slack that the first stage's cap gives over
 	// its share; once they run warm the cap alone binds. Guards against drowning the few.
 	r.fair = trial / max(whole, 1) * r.first("rollout.caps") / max(r.first("rollout.stage_shares"), 0.01)
-	r.panicky = 2*aside > len(r.units)
+	slices.Sort(shares)
+	r.common = shares[len(shares)/2]
 	if r.asking && now >= r.askAgain {
 		r.ask()
 	}
@@ -698,7 +705,7 @@
 func (r *Relay) rescue(d *Delivery) {
 	cmd := d.Cmd
 	if d.cancelled || cmd.answered || cmd.streaming || !r.flag("limits.may_cancel") ||
-		!r.silent(d.To) || r.now-d.sent < r.patience(d.To) || r.now >= r.lastStart(cmd) {
+		!r.silent(d.To) || r.now-d.sent < r.patience || r.now >= cmd.end-r.typical[cmd.OpType] {
 		return
 	}
 	if again := r.word2(cmd, "repeats"); again == "at_most_once" || d.No+1 >= int(r.num("limits.max_deliveries")) {
@@ -734,7 +741,7 @@
 func (r *Relay) UnitListed(now Tick, u *Unit, is Listing) {
 	r.now = now
 	if u.known && (is.Start != u.Start || is.Build != u.Build) { // another process: nothing known holds
-		u.acks, u.sends, u.doubt, u.aside, u.gap = nil, nil, 1, false, 0
+		u.acks, u.sends, u.marks, u.doubt, u.aside, u.gap = nil, nil, nil, 1, false, 0
 		u.heard, u.oldest = now, now
 	}
 	u.known = true
@@ -904,14 +911,20 @@
 func (r *Relay) Told(now Tick, from uint32, data []byte) { r.now = now }
 
 func (r *Relay) newSample() *sample {
-	return &sample{bad: make([][]float64, len(r.opTypes)+1), took: make([][]Tick, len(r.opTypes)+1)}
+	return &sample{bad: make([][]float64, len(r.opTypes)+1)}
 }
 
-func (s *sample) add(op int, bad float64, took Tick) {
+func (s *sample) add(op int, bad float64) {
 	s.bad[op] = append(s.bad[op], bad)
 	s.bad[op] = s.bad[op][max(0, len(s.bad[op])-kept):]
-	s.took[op] = append(s.took[op], took)
-	s.took[op] = s.took[op][max(0, len(s.took[op])-kept):]
+}
+
+func mean(x []float64) float64 {
+	sum := 0.0
+	for _, v := range x {
+		sum += v
+	}
+	return sum / float64(max(1, len(x)))
 }
 
 // share is the failure share of one op type, or of all (-1), or the flagged share.
@@ -928,24 +941,22 @@
 	return (bad + 0.5) / (n + 1)
 }
 
-// slow is the time that one in so many of the earlier build's deliveries exceeds.
-func (r *Relay) slow(op, oneIn int) Tick {
-	s := r.base
-	if len(s.took[op]) < 16 && r.judged != nil {
-		s = r.judged.sample
-	}
-	n := len(s.took[op])
-	if n < 16 {
-		return ticks(r.opTypes[op]["service_target"]) / 4
+// figure works out, a few times a second, how long deliveries took of late.
+func (r *Relay) figure() {
+	r.patience = 0
+	for op, took := range r.took {
+		r.typical[op] = ticks(r.opTypes[op]["service_target"]) / 4
+		usual := 4 * r.typical[op]
+		if n := len(took); n >= 16 {
+			sorted := slices.Clone(took)
+			slices.Sort(sorted)
+			r.typical[op] = min(sorted[n*3/4], 2*r.typical[op])
+			usual = Tick(lateness * float64(sorted[n*19/20]))
+		}
+		r.patience = max(r.patience, min(usual, 4*r.typical[op]))
 	}
-	sorted := slices.Clone(s.took[op])
-	slices.Sort(sorted)
-	return sorted[n-1-n/oneIn]
 }
 
-// usual is what a delivery hardly ever takes longer than at the earlier build.
-func (r *Relay) usual(op int) Tick { return Tick(lateness * float64(r.slow(op, 20))) }
-
 func (r *Relay) lane(op int) *lane { return &r.lanes[min(op, len(r.lanes)-1)] }
 
 // chance draws from 0 to n-1 by multiply-with-carry.
--- a/choice/host.go
+++ b/choice/host.go
@@ -90,6 +90,7 @@
 	answered   bool
 	streaming  bool
 	held       bool
+	end        Tick // when it loses its use
 }
 
 // Delivery is one try of a command at a unit.
@@ -125,10 +126,11 @@
 
 	known    bool
 	inFlight int
-	oldest   Tick   // when the relay began to wait for any answer of this unit
-	heard    Tick   // the last answer
-	acks     []Tick // times of the last acked deliveries
-	sends    []Tick // sends within the cold window
+	oldest   Tick      // when the relay began to wait for any answer of this unit
+	heard    Tick      // the last answer
+	acks     []Tick    // times of the last acked deliveries
+	sends    []Tick    // sends within the cold window
+	marks    []float64 // the last outcomes, 1 for a failure
 	doubt    float64
 	aside    bool
 	gap      Tick // between the deliveries of the trickle
