--- a/choice/choice.go
+++ b/choice/choice.go
@@ -31,7 +31,7 @@
 	leastSample = 20   // outcomes in a stage before a vote to go on
 	leastTimed  = 6    // outcomes of the build before a timed vote to go on
 	voteAfter   = 3 * Second
-	excuse      = 0.1 // what the earlier build's share may rise during a trial
+	excuse      = 0.2 // of slowness: by the trial's greater load, and by the fleet's own rise
 	kept        = 64  // samples of an op type at one build
 	sweepEvery  = 50 * Second / 1000
 	lateness    = 2.0            // times the earlier build's slow deliveries
@@ -464,7 +464,7 @@
 			r.forward[key] = true
 		}
 	}
-	r.score(d, took)
+	r.score(d)
 	if settled {
 		cmd.answered = true
 	}
@@ -484,73 +484,68 @@
 	return slices.ContainsFunc(r.units, func(u *Unit) bool { return r.mayRepeat(cmd, u) })
 }
 
-// score turns a delivery into an outcome of its unit and of its build: an error, a
-// time-out or a reset scores 1, an answer 0. One that takes longer than the earlier
-// build's slow deliveries counts as timed out there, so that slow, overloaded and
-// late builds reach the test as well as failing ones.
-func (r *Relay) score(d *Delivery, took Tick) {
-	if d.scored {
-		return
+// score turns the end of a delivery into an outcome of its unit and of its build: an
+// error or a reset scores 1, an answer 0. Whether it took longer than its due counts in a
+// stream of its own, as a unit on trial carries more load than others and may be warming.
+func (r *Relay) score(d *Delivery) {
+	u := d.To
+	slow := r.now > d.due
+	failed := d.ending == Errored || d.ending == Reset
+	if u.Start == d.since && d.ending < Cancelled {
+		r.weigh(u, failed || slow || d.ending != Acked)
 	}
-	d.scored = true
-	u, bad := d.To, 0.0
-	late := r.now > d.due || took > d.due-d.sent
-	switch {
-	case !d.ended: // overdue
-		bad = 1
-	case d.ending == Errored || d.ending == TimedOut || d.ending == Reset || d.ending == ConnectFailed:
-		bad = 1
-	case d.ending == Acked && late:
-		bad = 1
-	case d.ending == Full:
-		r.weigh(u, true)
-		return // never looked at: a drained unit on an old list, or a full one
-	case d.ending != Acked:
-		return // never looked at, or called off: says nothing
-	}
-	wasAside := u.aside
-	if u.Start == d.since {
-		r.weigh(u, bad > 0)
-	}
-	if d.ended && d.ending == ConnectFailed {
-		return
+	if !failed && d.ending != Acked && d.ending != TimedOut || r.spares(d, failed || slow) {
+		return // it was never looked at, or called off, or speaks for its unit alone
 	}
-	// A unit that failed its own test, or is silent while others of its build answer,
-	// speaks for itself and not for the build. Guards against dead, silent and broken
-	// units; hurts when a bad build shows at some of its units only.
-	silent := bad > 0 && u.heard < d.sent
-	if (wasAside || silent) && r.othersAnswer(u, d) {
-		return
+	if !d.slow {
+		r.pace(d, slow)
 	}
-	if bad > 0 && r.warmthAt(d) < 1 && (!d.ended || d.ending == Acked || d.ending == TimedOut) {
-		return // late from a cold unit: that is its coldness, not the build's doing
+	j, x, op := r.judged, 0.0, d.Cmd.OpType
+	if failed {
+		x = 1
 	}
-	j := r.judged
-	if d.ended && d.ending == Acked && j != nil {
+	if d.ending == Acked {
 		r.answer(d.build, 0)
 	}
 	switch {
-	case j == nil || d.build > j.build:
 	case d.build < j.build:
-		r.base.add(d.Cmd.OpType, bad)
+		r.base.add(op, x)
+	case d.build == j.build:
+		j.sample.add(op, x)
+		j.inStage++
+		r.see(0, x, r.base.share(-1)+margin, alpha)
+		r.see(1+op, x, r.base.share(op)+margin, alpha/float64(len(r.opTypes)))
+	}
+}
+
+// pace scores a delivery that has come to its due time (1) or ended before it (0): a
+// delivery that is slow counts as timed out. The units of the earlier build excuse no
+// more than a little above what they showed before the trial. Guards against builds that
+// are slow, turn slow, or slow every unit with the traffic they get; hurts a good build
+// whose trial meets an overload. Says nothing once no earlier build answers.
+func (r *Relay) pace(d *Delivery, slow bool) {
+	j, last, x := r.judged, len(r.opTypes)+1, 0.0
+	if slow {
+		d.slow, x = true, 1
+	}
+	switch {
+	case r.warmthAt(d) < 1 && slow: // that is its coldness, not the build's doing
+	case d.build < j.build:
+		r.base.add(last, x)
 		r.compared = r.now
-	default:
-		j.sample.add(d.Cmd.OpType, bad)
-		if r.now-r.compared > Second && !(d.ended && (d.ending == Errored || d.ending == Reset)) {
-			bad = 0 // no earlier build to compare with: slowness says nothing of the build
+	case d.build == j.build:
+		j.sample.add(last, x)
+		if r.now-r.compared <= Second {
+			r.see(1+last, x, min(r.base.share(last), j.before+excuse)+excuse+margin, alpha)
 		}
-		j.inStage++
-		r.see(0, bad, r.edge(-1), alpha)
-		r.see(1+d.Cmd.OpType, bad, r.edge(d.Cmd.OpType), alpha/float64(len(r.opTypes)))
 	}
 }
 
-// edge is what an outcome is held against: the earlier build's failure share, plus the
-// margin. Units of the earlier build excuse no more than a little above what they failed
-// before the trial: guards against a build that slows every unit, old and new, with the
-// traffic it gets; hurts a good build whose trial meets a trouble of the whole fleet.
-func (r *Relay) edge(op int) float64 {
-	return min(r.base.share(op), r.judged.before+excuse) + margin
+// spares: a unit that failed its own test, or is silent while others of its build answer,
+// speaks for itself and not for the build. Guards against dead, silent and broken units;
+// hurts when a bad build shows at some of its units only.
+func (r *Relay) spares(d *Delivery, bad bool) bool {
+	return (d.To.aside || bad && d.To.heard < d.sent) && r.othersAnswer(d.To, d)
 }
 
 // answer gives an answer (0) or a flag (1) to the stream that counts wrong answers;
@@ -606,12 +601,15 @@
 	s := &j.streams[which]
 	if n, wealth, ok := s.see(x, min(b, 0.9), level); ok && j.alarm == "" {
 		name := "all commands"
-		if which == len(j.streams)-1 {
+		switch {
+		case which == len(j.streams)-1:
+			name = "slowness"
+		case which == len(j.streams)-2:
 			name = "wrong answers"
-		} else if which > 0 {
+		case which > 0:
 			name = fmt.Sprint("op type ", which-1)
 		}
-		j.alarm = fmt.Sprintf("%s: test %d of %d, wealth %.3g, earlier share %.3f", name, n, s.n, wealth, b-margin)
+		j.alarm = fmt.Sprintf("%s: test %d of %d, wealth %.3g against a share of %.3f", name, n, s.n, wealth, b)
 		r.host.Log(fmt.Sprintf("build %d alarm on %s", j.build, j.alarm))
 	}
 }
@@ -668,8 +666,8 @@
 	}
 	r.host.WakeAt(now+sweepEvery, sweepTag)
 	for _, d := range r.out {
-		if now > d.due {
-			r.score(d, now-d.sent)
+		if now > d.due && !d.slow && !r.spares(d, true) {
+			r.pace(d, true)
 		}
 		r.rescue(d)
 	}
@@ -767,7 +765,7 @@
 	if j != nil && (!r.told || r.news.Build != j.build || r.news.Phase == Released) {
 		r.base = j.sample // it was kept: now it is the earlier build
 	}
-	r.judged = &trial{build: build, before: r.base.share(-1), sample: r.newSample(), streams: make([]stream, len(r.opTypes)+2)}
+	r.judged = &trial{build: build, before: r.base.share(len(r.opTypes) + 1), sample: r.newSample(), streams: make([]stream, len(r.opTypes)+3)}
 }
 
 // Stage takes news of the newest build, or the answer to a vote.
@@ -876,7 +874,7 @@
 	if r.judged != nil {
 		r.answer(u.Build, 1)
 		if u.Build == r.judged.build {
-			r.see(0, 1, r.edge(-1), alpha)
+			r.see(0, 1, r.base.share(-1)+margin, alpha)
 		}
 	}
 	r.consider()
@@ -887,7 +885,7 @@
 	r.now = now
 	d.To.heard = now
 	d.Cmd.streaming = true
-	r.score(d, now-d.sent)
+	d.due = Tick(math.MaxInt64) // its time-out has stopped running
 }
 
 // Left takes that a client has gone: nothing is owed, and nothing more is sent.
@@ -911,7 +909,7 @@
 func (r *Relay) Told(now Tick, from uint32, data []byte) { r.now = now }
 
 func (r *Relay) newSample() *sample {
-	return &sample{bad: make([][]float64, len(r.opTypes)+1)}
+	return &sample{bad: make([][]float64, len(r.opTypes)+2)}
 }
 
 func (s *sample) add(op int, bad float64) {
@@ -931,7 +929,7 @@
 func (s *sample) share(op int) float64 {
 	bad, n := 0.0, 0.0
 	for i := range s.bad {
-		if op == i || op < 0 && i < len(s.bad)-1 {
+		if op == i || op < 0 && i < len(s.bad)-2 {
 			for _, x := range s.bad[i] {
 				bad += x
 			}
--- a/choice/host.go
+++ b/choice/host.go
@@ -105,7 +105,7 @@
 	first     bool
 	trial     bool
 	ended     bool
-	scored    bool
+	slow      bool // counted as slow before it ended
 	cancelled bool
 	ending    Ending
 }
