--- a/choice/choice.go
+++ b/choice/choice.go
@@ -304,14 +304,6 @@
 	return from + (1-from)*float64(max(0, r.now-u.Start))/float64(cold)
 }
 
-// warmthAt is the same for a delivery, when it was sent.
-func (r *Relay) warmthAt(d *Delivery) float64 {
-	if d.since == 0 || d.sent-d.since >= r.span("rules.cold") {
-		return 1
-	}
-	return 0
-}
-
 // coldRoom keeps this relay's part of the cold budget: a part of what the rule
 // allows, in terms of what this relay's warm units answer. As every relay keeps to
 // its own warm rate, all together stay under the rule without speaking.
@@ -489,7 +481,7 @@
 // stream of its own, as a unit on trial carries more load than others and may be warming.
 func (r *Relay) score(d *Delivery) {
 	u := d.To
-	slow := r.now > d.due
+	slow := r.now > d.due || d.ending == TimedOut
 	failed := d.ending == Errored || d.ending == Reset
 	if u.Start == d.since && d.ending < Cancelled {
 		r.weigh(u, failed || slow || d.ending != Acked)
@@ -519,25 +511,27 @@
 }
 
 // pace scores a delivery that has come to its due time (1) or ended before it (0): a
-// delivery that is slow counts as timed out. The units of the earlier build excuse no
-// more than a little above what they showed before the trial. Guards against builds that
-// are slow, turn slow, or slow every unit with the traffic they get; hurts a good build
-// whose trial meets an overload. Says nothing once no earlier build answers.
+// delivery that is slow counts as timed out. Its edge is raised: units on trial carry more
+// load by the cap and may be warming, and the earlier build excuses a little more than it
+// showed before the trial; once no earlier build answers, the old figure excuses the more.
+// Guards against builds that are slow, turn slow, or slow every unit with the traffic they
+// get; hurts a good build whose trial meets a long overload.
 func (r *Relay) pace(d *Delivery, slow bool) {
 	j, last, x := r.judged, len(r.opTypes)+1, 0.0
 	if slow {
 		d.slow, x = true, 1
 	}
 	switch {
-	case r.warmthAt(d) < 1 && slow: // that is its coldness, not the build's doing
 	case d.build < j.build:
 		r.base.add(last, x)
 		r.compared = r.now
 	case d.build == j.build:
 		j.sample.add(last, x)
-		if r.now-r.compared <= Second {
-			r.see(1+last, x, min(r.base.share(last), j.before+excuse)+excuse+margin, alpha)
+		edge := min(r.base.share(last), j.before+excuse) + excuse + margin
+		if r.now-r.compared > Second {
+			edge += excuse
 		}
+		r.see(1+last, x, edge, alpha)
 	}
 }
 
@@ -803,7 +797,9 @@
 	if r.news.Phase == Released {
 		return NoVote
 	}
-	wary := j.wary(len(r.opTypes))
+	// A fleet much slower than before the trial also holds the vote back: it may be the
+	// build's doing, and is no moment to move machines.
+	wary := j.wary(len(r.opTypes)) || r.base.share(len(r.opTypes)+1) > j.before+excuse
 	if r.word("rollout.control") == "clocked" {
 		if wary {
 			return Hold
@@ -914,7 +910,11 @@
 
 func (s *sample) add(op int, bad float64) {
 	s.bad[op] = append(s.bad[op], bad)
-	s.bad[op] = s.bad[op][max(0, len(s.bad[op])-kept):]
+	most := kept
+	if op == len(s.bad)-2 {
+		most *= 8 // flags are rare
+	}
+	s.bad[op] = s.bad[op][max(0, len(s.bad[op])-most):]
 }
 
 func mean(x []float64) float64 {
