--- a/choice/choice.go
+++ b/choice/choice.go
@@ -65,7 +65,7 @@
 	perUnit  float64     // acked a second at a warm unit, this relay's part
 	fair     float64     // part of the commands that the units of the build on trial can take
 	took     [][]Tick    // the last acked deliveries of each op type, at any build
-	typical  []Tick      // what one in four of them exceeds
+	typical  []Tick      // what one in ten of them exceeds
 	patience Tick        // how long a unit may stay silent
 	target   Tick        // the least service target
 
@@ -176,10 +176,7 @@
 // hold keeps a command in the order in which commands lose their use.
 func (r *Relay) hold(cmd *Command) {
 	cmd.held = true
-	cmd.end = cmd.NotAfter - 1
-	if ofUse, _ := r.opTypes[cmd.OpType]["late_importance"].(float64); ofUse == 0 {
-		cmd.end = min(cmd.end, cmd.taken+r.opSpan(cmd, "service_target"))
-	}
+	cmd.end = min(cmd.NotAfter-1, cmd.taken+r.opSpan(cmd, "service_target"))
 	at, _ := slices.BinarySearchFunc(r.held, cmd.end+1, func(c *Command, end Tick) int { return int(c.end - end) })
 	r.held = slices.Insert(r.held, at, cmd)
 }
@@ -948,7 +945,7 @@
 		if n := len(took); n >= 16 {
 			sorted := slices.Clone(took)
 			slices.Sort(sorted)
-			r.typical[op] = min(sorted[n*3/4], 2*r.typical[op])
+			r.typical[op] = min(sorted[n*9/10], 3*r.typical[op])
 			usual = Tick(lateness * float64(sorted[n*19/20]))
 		}
 		r.patience = max(r.patience, min(usual, 4*r.typical[op]))
