--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,7 +35,7 @@
 	kept        = 64  // samples of an op type at one build
 	sweepEvery  = 50 * Second / 1000
 	lateness    = 2.0            // times the earlier build's slow deliveries
-	roomPart    = 0.3            // of a service target: what a unit may owe
+	roomPart    = 0.2            // of a service target: what a unit may owe
 	roomLeast   = 1.0            // delivery in flight that every warm unit may have
 	coldPart    = 0.6            // of what the cold rule allows
 	rateSpan    = 2 * Second     // over which the relay's own rate is taken
