Call a delivery slow past three times the middle time before the trial

Guards against builds that are slow in any way; it may harm good builds whose trial meets a doubling of load.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -31,7 +31,9 @@
 	leastSample = 20   // outcomes in a stage before a vote to go on
 	leastTimed  = 6    // outcomes of the build before a timed vote to go on
 	voteAfter   = 3 * Second
-	excuse      = 0.2 // of slowness: by the trial's greater load, and by the fleet's own rise
+	drawnOut    = 3   // times the middle time before the trial is slow
+	burden      = 0.3 // of slowness: by the greater load of units on trial
+	excuse      = 0.2 // of slowness: by the fleet's own rise in a trial
 	kept        = 64  // samples of an op type at one build
 	sweepEvery  = 50 * Second / 1000
 	lateness    = 2.0            // times the earlier build's slow deliveries
@@ -66,6 +68,7 @@
 	fair     float64     // part of the commands that the units of the build on trial can take
 	took     [][]Tick    // the last acked deliveries of each op type, at any build
 	typical  []Tick      // what one in ten of them exceeds
+	middle   []Tick      // and half of them
 	patience Tick        // how long a unit may stay silent
 	target   Tick        // the least service target
 
@@ -104,6 +107,7 @@
 	streams []stream // all outcomes, one an op type, wrong answers
 	inStage int
 	before  float64 // the earlier build's failure share when this one came
+	middle  []Tick  // and the middle time of each op type's deliveries
 	alarm   string
 }
 
@@ -148,6 +152,7 @@
 	}
 	r.base = r.newSample()
 	r.took, r.typical = make([][]Tick, len(r.opTypes)), make([]Tick, len(r.opTypes))
+	r.middle = make([]Tick, len(r.opTypes))
 	r.target = Tick(math.MaxInt64)
 	for _, t := range r.opTypes {
 		r.target = min(r.target, ticks(t["service_target"]))
@@ -232,7 +237,8 @@
 
 	d := &Delivery{Cmd: cmd, No: len(cmd.deliveries), To: u, sent: r.now, build: u.Build, since: u.Start}
 	target := r.opSpan(cmd, "service_target")
-	d.due = r.now + Tick(float64(target)/r.warmth(u))
+	d.late = r.now + Tick(float64(target)/r.warmth(u))
+	d.due = r.now + Tick(float64(min(target, drawnOut*r.judged.middle[cmd.OpType]))/r.warmth(u))
 	if r.onTrial(u.Build) {
 		l.sent = append(l.sent, r.now)
 		l.credit = max(0, l.credit-1)
@@ -478,10 +484,10 @@
 // stream of its own, as a unit on trial carries more load than others and may be warming.
 func (r *Relay) score(d *Delivery) {
 	u := d.To
-	slow := r.now > d.due || d.ending == TimedOut
+	slow, late := r.now > d.due || d.ending == TimedOut, r.now > d.late
 	failed := d.ending == Errored || d.ending == Reset
 	if u.Start == d.since && d.ending < Cancelled {
-		r.weigh(u, failed || slow || d.ending != Acked)
+		r.weigh(u, failed || late || d.ending != Acked)
 	}
 	if !failed && d.ending != Acked && d.ending != TimedOut || r.spares(d, failed || slow) {
 		return // it was never looked at, or called off, or speaks for its unit alone
@@ -524,7 +530,7 @@
 		r.compared = r.now
 	case d.build == j.build:
 		j.sample.add(last, x)
-		edge := min(r.base.share(last), j.before+excuse) + excuse + margin
+		edge := min(r.base.share(last), j.before+excuse) + burden + margin
 		if r.now-r.compared > Second {
 			edge += excuse
 		}
@@ -756,7 +762,7 @@
 	if j != nil && (!r.told || r.news.Build != j.build || r.news.Phase == Released) {
 		r.base = j.sample // it was kept: now it is the earlier build
 	}
-	r.judged = &trial{build: build, before: r.base.share(len(r.opTypes) + 1), sample: r.newSample(), streams: make([]stream, len(r.opTypes)+3)}
+	r.judged = &trial{build: build, middle: slices.Clone(r.middle), before: r.base.share(len(r.opTypes) + 1), sample: r.newSample(), streams: make([]stream, len(r.opTypes)+3)}
 }
 
 // Stage takes news of the newest build, or the answer to a vote.
@@ -941,10 +947,12 @@
 	r.patience = 0
 	for op, took := range r.took {
 		r.typical[op] = ticks(r.opTypes[op]["service_target"]) / 4
+		r.middle[op] = r.typical[op]
 		usual := 4 * r.typical[op]
 		if n := len(took); n >= 16 {
 			sorted := slices.Clone(took)
 			slices.Sort(sorted)
+			r.middle[op] = sorted[n/2]
 			r.typical[op] = min(sorted[n*9/10], 3*r.typical[op])
 			usual = Tick(lateness * float64(sorted[n*19/20]))
 		}
--- a/choice/host.go
+++ b/choice/host.go
@@ -99,7 +99,9 @@
 	No  int
 	To  *Unit
 
-	sent, due Tick // due: when it counts as timed out for the test
+	sent      Tick
+	due       Tick // when it counts as slow for the build
+	late      Tick // and for its unit
 	build     uint16
 	since     Tick // To's start as it was known when this was sent
 	first     bool
