--- a/choice/choice.go
+++ b/choice/choice.go
@@ -18,6 +18,7 @@
 package choice
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -34,6 +35,7 @@
 	drawnOut    = 3   // times the middle time before the trial is slow
 	burden      = 0.3 // of slowness: by the greater load of units on trial
 	excuse      = 0.2 // of slowness: by the fleet's own rise in a trial
+	overShare   = 1.5 // times its share: a customer's commands rank low
 	kept        = 64  // samples of an op type at one build
 	sweepEvery  = 50 * Second / 1000
 	lateness    = 2.0            // times the earlier build's slow deliveries
@@ -49,98 +51,6 @@
 	sweepTag    = uint32(0x5eed) // the one timer
 )
 
-// Relay decides for one instance.
-type Relay struct {
-	host     Host
-	set      map[string]any
-	opTypes  []map[string]any
-	now      Tick
-	born     Tick
-	x, carry uint32 // chance
-
-	units    []*Unit    // those listed as ready, in the order of listing
-	held     []*Command // those without a unit, in the order of their end
-	scratch  []*Command
-	common   float64     // the failure share of a unit in the middle of the fleet
-	out      []*Delivery // not ended, oldest first
-	acks     []Tick      // of the last rateSpan
-	perUnit  float64     // acked a second at a warm unit, this relay's part
-	fair     float64     // part of the commands that the units of the build on trial can take
-	took     [][]Tick    // the last acked deliveries of each op type, at any build
-	typical  []Tick      // what one in ten of them exceeds
-	middle   []Tick      // and half of them
-	patience Tick        // how long a unit may stay silent
-	target   Tick        // the least service target
-
-	lanes   []lane // what the exposure rule counts: all, or one an op type
-	news    StageNews
-	told    bool
-	since   Tick // when the newest stage started
-	recount Tick // when a lower cap binds and the count starts anew
-	forward map[uint64]bool
-
-	base     *sample // of the earlier build
-	compared Tick    // when it last gave an outcome
-	judged   *trial
-	ballot   ballot
-
-	asking   bool
-	askAgain Tick
-	askGap   Tick
-}
-
-// lane is one count of the exposure rule.
-type lane struct {
-	taken, sent []Tick
-	credit      float64 // first deliveries due to the trial build
-}
-
-// sample is the last outcomes at one build, for each op type.
-type sample struct {
-	bad [][]float64
-}
-
-// trial is the judging of one build.
-type trial struct {
-	build   uint16
-	sample  *sample
-	streams []stream // all outcomes, one an op type, wrong answers
-	inStage int
-	before  float64 // the earlier build's failure share when this one came
-	middle  []Tick  // and the middle time of each op type's deliveries
-	alarm   string
-}
-
-// stream is the design's detector: a test started at each outcome.
-type stream struct {
-	n     int
-	tests []test
-}
-
-// test is one one-sided betting test.
-type test struct {
-	start  int
-	seen   float64
-	bad    float64
-	wealth float64
-}
-
-// ballot is this relay's vote.
-type ballot struct {
-	build   uint16
-	stage   int
-	verdict Verdict
-	state   int
-	at      Tick // when it goes out, stops being waited for, or no longer stands
-}
-
-const (
-	noBallot = iota
-	drawn
-	cast
-	stands
-)
-
 // New makes the module of one instance, started now with its seed and settings.
 func New(host Host, now Tick, seed uint64, settings map[string]any) *Relay {
 	r := &Relay{host: host, set: settings, now: now, born: now, forward: map[uint64]bool{}}
@@ -174,18 +84,49 @@
 	l := r.lane(cmd.OpType)
 	l.taken = append(l.taken, now)
 	l.credit = min(l.credit+capUse*min(r.trialCap(), r.fair), max(1, r.num("rollout.exposure_free")))
+	cmd.rank = r.rank(cmd)
 	r.hold(cmd)
 	r.serve()
 }
 
-// hold keeps a command in the order in which commands lose their use.
+// hold keeps a command by importance, then by the time when it loses its use. What a
+// customer asks beyond its share is of little importance. Guards the worth served in
+// overload and in one customer's burst; the least important op types pay for it.
 func (r *Relay) hold(cmd *Command) {
+	cmd.end = min(cmd.NotAfter-2*sweepEvery, cmd.taken+r.opSpan(cmd, "service_target"))
+	if r.now >= cmd.end-r.typical[cmd.OpType] {
+		r.giveUp(cmd)
+		return
+	}
 	cmd.held = true
-	cmd.end = min(cmd.NotAfter-1, cmd.taken+r.opSpan(cmd, "service_target"))
-	at, _ := slices.BinarySearchFunc(r.held, cmd.end+1, func(c *Command, end Tick) int { return int(c.end - end) })
+	at, _ := slices.BinarySearchFunc(r.held, cmd, func(a, b *Command) int {
+		if a.rank != b.rank {
+			return cmp.Compare(b.rank, a.rank)
+		}
+		return cmp.Compare(a.end, b.end+1)
+	})
 	r.held = slices.Insert(r.held, at, cmd)
 }
 
+// rank is the importance of a command, less when its customer is over its share.
+func (r *Relay) rank(cmd *Command) float64 {
+	rank, _ := r.opTypes[cmd.OpType]["importance"].(float64)
+	r.callers = append(r.callers, cmd.Customer)
+	r.callers = r.callers[max(0, len(r.callers)-4*kept):]
+	if all, _ := r.set["customers"].([]map[string]any); cmd.Customer < len(all) && len(r.callers) == 4*kept {
+		asked := 0
+		for _, c := range r.callers {
+			if c == cmd.Customer {
+				asked++
+			}
+		}
+		if share, _ := all[cmd.Customer]["share"].(float64); float64(asked) > overShare*share*4*kept {
+			rank *= r.num("over_share_importance")
+		}
+	}
+	return rank
+}
+
 // serve routes what is held, the most urgent first, until a few find no unit.
 func (r *Relay) serve() {
 	left, stuck, i := r.scratch[:0], 0, 0
@@ -261,7 +202,7 @@
 
 // mayTake says whether a unit may get this command now, trial or not.
 func (r *Relay) mayTake(cmd *Command, u *Unit) bool {
-	if u.State != Ready || !r.mayRepeat(cmd, u) {
+	if u.State != Ready || !r.harmless(cmd, u) {
 		return false
 	}
 	if n := len(cmd.deliveries); n > 0 && cmd.deliveries[n-1].To == u {
@@ -271,9 +212,9 @@
 		(r.news.Phase == OnTrial || r.news.Phase == Released) {
 		return false
 	}
-	if r.doubted(u) {
+	if r.doubted(u) && !r.alone {
 		// A trickle of commands that can be tried again tells whether it has come back.
-		return r.now >= u.nextTry && u.inFlight < 2 && r.word2(cmd, "repeats") != "at_most_once"
+		return r.now >= u.nextTry && u.inFlight < 2 && r.word2(cmd, "repeats") != "at_most_once" && r.coldRoom(u)
 	}
 	return float64(u.inFlight) < r.room(u) && r.coldRoom(u)
 }
@@ -365,34 +306,31 @@
 	if r.now <= r.born+window {
 		free = 0 // this relay may have been killed just now, and its sends still count
 	}
-	return float64(len(l.sent)+1) <= free+share*float64(len(l.taken))
+	return float64(len(l.sent)+1) <= free+share*float64(len(l.taken))-1e-5
 }
 
-// mayRepeat keeps the rule on double effects for one more delivery at a unit.
-func (r *Relay) mayRepeat(cmd *Command, u *Unit) bool {
-	if len(cmd.deliveries) >= int(r.num("limits.max_deliveries")) {
-		return false
-	}
+// harmless keeps the rule on double effects, for one more delivery at a unit or, with no
+// unit, for a nack, which tells the client that trying again is harmless.
+func (r *Relay) harmless(cmd *Command, u *Unit) bool {
 	for _, d := range cmd.deliveries {
 		if !d.mayHaveRun() {
 			continue
 		}
-		if !d.ended {
+		group := r.word2(cmd, "repeat_group")
+		switch repeats := r.word2(cmd, "repeats"); {
+		case u != nil && !d.ended:
 			return false
-		}
-		switch r.word2(cmd, "repeats") {
-		case "redeliverable":
-		case "deduplicated":
-			group := r.word2(cmd, "repeat_group")
-			same := group == "all" || group == "zone" && d.To.Zone == u.Zone || group == "cell" && d.To.Cell == u.Cell
-			if !same || r.now+1 >= d.sent+r.opSpan(cmd, "repeat_window") {
-				return false
-			}
-		default:
+		case repeats == "redeliverable":
+		case repeats != "deduplicated":
+			return false
+		case u == nil && group != "all":
+			return false
+		case u != nil && (r.now+1 >= d.sent+r.opSpan(cmd, "repeat_window") ||
+			group != "all" && (group != "zone" || d.To.Zone != u.Zone) && (group != "cell" || d.To.Cell != u.Cell)):
 			return false
 		}
 	}
-	return true
+	return u == nil || len(cmd.deliveries) < int(r.num("limits.max_deliveries"))
 }
 
 // mayHaveRun: only these endings prove that a delivery never ran.
@@ -400,29 +338,10 @@
 	return !d.ended || d.ending != Full && d.ending != ConnectFailed && d.ending != Moot
 }
 
-// mayNack: a nack says that trying again is harmless.
-func (r *Relay) mayNack(cmd *Command) bool {
-	for _, d := range cmd.deliveries {
-		if !d.mayHaveRun() {
-			continue
-		}
-		switch r.word2(cmd, "repeats") {
-		case "redeliverable":
-		case "deduplicated":
-			if r.word2(cmd, "repeat_group") != "all" {
-				return false
-			}
-		default:
-			return false
-		}
-	}
-	return true
-}
-
 // giveUp answers at once, with the time to come back where clients are told one.
 func (r *Relay) giveUp(cmd *Command) {
 	cmd.answered = true
-	if !r.mayNack(cmd) {
+	if !r.harmless(cmd, nil) {
 		r.host.Fail(cmd)
 		return
 	}
@@ -476,7 +395,7 @@
 
 // anyRepeat says whether some listed unit could get another delivery.
 func (r *Relay) anyRepeat(cmd *Command) bool {
-	return slices.ContainsFunc(r.units, func(u *Unit) bool { return r.mayRepeat(cmd, u) })
+	return slices.ContainsFunc(r.units, func(u *Unit) bool { return r.harmless(cmd, u) })
 }
 
 // score turns the end of a delivery into an outcome of its unit and of its build: an
@@ -486,6 +405,7 @@
 	u := d.To
 	slow, late := r.now > d.due || d.ending == TimedOut, r.now > d.late
 	failed := d.ending == Errored || d.ending == Reset
+	beside := r.now-r.compared <= Second
 	if u.Start == d.since && d.ending < Cancelled {
 		r.weigh(u, failed || late || d.ending != Acked)
 	}
@@ -496,7 +416,7 @@
 		r.pace(d, slow)
 	}
 	j, x, op := r.judged, 0.0, d.Cmd.OpType
-	if failed {
+	if failed && (beside || d.ending == Errored) { // resets of a whole fleet are the network's
 		x = 1
 	}
 	if d.ending == Acked {
@@ -670,12 +590,15 @@
 	}
 	r.figure()
 	r.acks = recent(r.acks, now-rateSpan)
-	whole, trial, shares := 0.0, 0.0, []float64{0}
+	whole, trial, shares, doubted := 0.0, 0.0, []float64{0}, 0
 	for _, u := range r.units {
 		whole += r.warmth(u)
 		if r.onTrial(u.Build) {
 			trial += r.warmth(u)
 		}
+		if r.doubted(u) {
+			doubted++
+		}
 		if len(u.marks) > 0 {
 			shares = append(shares, mean(u.marks))
 		}
@@ -687,9 +610,16 @@
 	r.fair = trial / max(whole, 1) * r.first("rollout.caps") / max(r.first("rollout.stage_shares"), 0.01)
 	slices.Sort(shares)
 	r.common = shares[len(shares)/2]
+	// When nearly every unit is in doubt the trouble is this relay's own, such as a stall.
+	r.alone = 8*doubted >= 7*len(r.units)
 	if r.asking && now >= r.askAgain {
 		r.ask()
 	}
+	for _, cmd := range r.held {
+		if !cmd.answered && now >= cmd.end-r.typical[cmd.OpType] {
+			r.giveUp(cmd)
+		}
+	}
 	r.serve()
 	r.consider()
 }
@@ -762,6 +692,7 @@
 	if j != nil && (!r.told || r.news.Build != j.build || r.news.Phase == Released) {
 		r.base = j.sample // it was kept: now it is the earlier build
 	}
+	clear(r.forward)
 	r.judged = &trial{build: build, middle: slices.Clone(r.middle), before: r.base.share(len(r.opTypes) + 1), sample: r.newSample(), streams: make([]stream, len(r.opTypes)+3)}
 }
 
@@ -956,7 +887,7 @@
 			r.typical[op] = min(sorted[n*9/10], 3*r.typical[op])
 			usual = Tick(lateness * float64(sorted[n*19/20]))
 		}
-		r.patience = max(r.patience, min(usual, 4*r.typical[op]))
+		r.patience = max(r.patience, min(usual, r.target*3/5))
 	}
 }
 
--- /dev/null
+++ b/choice/choice_test.go
@@ -0,0 +1,351 @@
+package choice
+
+import (
+	"fmt"
+	"math"
+	"testing"
+)
+
+func TestWealth(t *testing.T) {
+	// With b 0.1: a first failure bets (0.5-0.1)/(0.1*0.9), so wealth is 0.5/0.1; a
+	// first answer leaves 0.5/0.9; the next mean is (bad+0.5)/(seen+1).
+	for _, c := range []struct {
+		name     string
+		outcomes []float64
+		want     float64
+	}{
+		{"one failure", []float64{1}, 5},
+		{"one answer", []float64{0}, 0.5 / 0.9},
+		{"two failures", []float64{1, 1}, 5 * 0.75 / 0.1},
+		{"failure then answer", []float64{1, 0}, 5 * 0.25 / 0.9},
+		{"no bet below the edge", []float64{0, 0, 0, 0, 0, 0, 0}, 0.5 / 0.9 * 0.75 / 0.9 * (1 - 0.5/3) / 0.9 * (1 - 0.5/4) / 0.9},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var s stream
+			for _, x := range c.outcomes {
+				s.see(x, 0.1, alpha)
+			}
+			if got := s.tests[0].wealth; math.Abs(got-c.want) > 1e-9 {
+				t.Errorf("wealth %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestThreshold(t *testing.T) {
+	for n, want := range map[int]float64{1: 164.4934, 2: 657.9736, 10: 16449.34} {
+		if got := threshold(n, 0.01); math.Abs(got-want) > 0.01 {
+			t.Errorf("threshold of test %d: %v, want %v", n, got, want)
+		}
+	}
+}
+
+func TestOpenTests(t *testing.T) {
+	for _, c := range []struct{ outcomes, newest int }{{1, 1}, {32, 32}, {33, 32}, {63, 32}, {64, 64}, {65, 64}, {127, 64}, {128, 128}, {300, 256}} {
+		var s stream
+		for range c.outcomes {
+			s.see(0, 0.1, alpha)
+		}
+		check(t, "open tests", len(s.tests), min(c.outcomes, 32))
+		check(t, "newest test", s.tests[len(s.tests)-1].start, c.newest)
+	}
+}
+
+func TestChance(t *testing.T) {
+	a, b := newBench(nil), newBench(nil)
+	counts := make([]int, 4)
+	for range 4000 {
+		x := a.chance(4)
+		check(t, "same seed, same draw", b.chance(4), x)
+		counts[x]++
+	}
+	for i, n := range counts {
+		if n < 900 || n > 1100 {
+			t.Errorf("%d drawn %d times in 4000", i, n)
+		}
+	}
+}
+
+func TestEveryCommandIsAnswered(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		op       int
+		units    int
+		endings  []Ending
+		nack     bool
+		delivers int
+	}{
+		{"no unit, held until it is of no use", redeliverable, 0, nil, true, 0},
+		{"no unit, at most once: it never ran", atMostOnce, 0, nil, true, 0},
+		{"error, redeliverable: again elsewhere", redeliverable, 2, []Ending{Errored, Errored, Errored}, true, 3},
+		{"error, at most once: failed at once", atMostOnce, 2, []Ending{Errored}, false, 1},
+		{"full, at most once: again", atMostOnce, 2, []Ending{Full, Full, Full}, true, 3},
+		{"connect failed then reset, at most once", atMostOnce, 2, []Ending{ConnectFailed, Reset}, false, 2},
+		{"reset, deduplicated, other zone: failed", deduplicated, 2, []Ending{Reset}, false, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(nil)
+			for i := range c.units {
+				b.unit(uint32(i+1), 1, 0)
+			}
+			cmd := b.take(c.op)
+			for _, e := range c.endings {
+				b.end(cmd, e)
+			}
+			b.pass(Second)
+			_, nacked := b.host.nacked[cmd]
+			check(t, "nacked", nacked, c.nack)
+			check(t, "failed", b.host.failed[cmd], !c.nack)
+			check(t, "deliveries", len(b.host.sent), c.delivers)
+		})
+	}
+}
+
+func TestAnswerComesBeforeTheClientsOwnTime(t *testing.T) {
+	b := newBench(nil)
+	cmd := &Command{OpType: redeliverable, NotAfter: b.now + Second/10} // far before the service target
+	b.Command(b.now, cmd)
+	b.pass(Second / 10)
+	if _, ok := b.host.nacked[cmd]; !ok {
+		t.Error("a held command outlived its client")
+	}
+	late := &Command{OpType: redeliverable, NotAfter: b.now}
+	b.Command(b.now, late)
+	if _, ok := b.host.nacked[late]; !ok {
+		t.Error("a command that came too late was not answered at once")
+	}
+}
+
+func TestDrainsAreKept(t *testing.T) {
+	for _, state := range []State{Draining, Gone} {
+		b := newBench(nil)
+		u := b.unit(1, 1, 0)
+		listing := u.Listing
+		listing.State = state
+		b.UnitListed(b.now, u, listing)
+		b.take(redeliverable)
+		check(t, "deliveries", len(b.host.sent), 0)
+	}
+}
+
+func TestColdUnitIsNotPushedOver(t *testing.T) {
+	b := newBench(nil)
+	u := b.unit(1, 1, start)
+	for range 50 { // fast answers leave room, but no warm unit says what can be taken
+		b.take(redeliverable)
+		b.answer()
+		b.now += 10
+	}
+	check(t, "deliveries to a cold unit", len(b.host.sent), 1)
+	u.aside = true
+	check(t, "the trickle keeps the budget too", b.mayTake(&Command{}, u), false)
+}
+
+func TestExposureStaysWithinTheCap(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		more  map[string]any
+		op    int
+		cap   float64
+		phase Phase
+		wait  Tick
+		want  int // of 100 commands, with nothing but the build on trial to send to
+	}{
+		{"free plus cap", nil, redeliverable, 0.2, OnTrial, 5 * Second, 21},
+		{"no free just after a start", nil, redeliverable, 0.2, OnTrial, 0, 19},
+		{"cap 0", nil, redeliverable, 0, RollingBack, 5 * Second, 0},
+		{"released", nil, redeliverable, 0, Released, 5 * Second, 100},
+		{"guarded stage, effect", map[string]any{"rollout.guarded_stages": 1.0}, atMostOnce, 0.2, OnTrial, 5 * Second, 0},
+		{"guarded stage, redeliverable", map[string]any{"rollout.guarded_stages": 1.0}, redeliverable, 0.2, OnTrial, 5 * Second, 21},
+		{"by op type", map[string]any{"rollout.exposure_by": "op_type"}, redeliverable, 0.2, OnTrial, 5 * Second, 21},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(c.more)
+			b.unit(1, 2, 0)
+			b.news(2, 0, c.phase, c.cap)
+			b.pass(c.wait)
+			for range 100 {
+				b.take(c.op)
+				b.answer()
+			}
+			check(t, "deliveries", len(b.host.sent), c.want)
+		})
+	}
+}
+
+func TestUnannouncedBuildCountsAsFirstStage(t *testing.T) {
+	b := newBench(nil)
+	b.news(1, 0, Released, 1)
+	b.unit(1, 2, 0)
+	share, stage := b.capOf(2)
+	check(t, "on trial", b.onTrial(2), true)
+	check(t, "cap", share, 0.2)
+	check(t, "stage", stage, 0)
+}
+
+func TestLoweredCapCountsAnewAfterTheGrace(t *testing.T) {
+	b := newBench(nil)
+	b.unit(1, 2, 0)
+	b.news(2, 1, OnTrial, 1)
+	b.pass(5 * Second)
+	for range 50 {
+		b.take(redeliverable)
+		b.answer()
+	}
+	sent := len(b.host.sent)
+	b.news(2, 0, OnTrial, 0.2)
+	b.take(redeliverable)
+	check(t, "within the grace the old count binds", len(b.host.sent), sent)
+	b.pass(Second + 100)
+	b.take(redeliverable)
+	check(t, "after it the count starts anew", len(b.host.sent), sent+1)
+}
+
+func TestForwardOnlyKeys(t *testing.T) {
+	b := newBench(map[string]any{"rollout.forward_only": true})
+	b.news(2, 0, OnTrial, 0.2)
+	old := b.unit(1, 1, 0)
+	b.unit(2, 2, 0)
+	b.forward[9] = true
+	check(t, "to the earlier build", b.mayTake(&Command{Key: 9}, old), false)
+	check(t, "another key", b.mayTake(&Command{Key: 8}, old), true)
+	b.news(2, 0, RollingBack, 0)
+	check(t, "when it goes back", b.mayTake(&Command{Key: 9}, old), true)
+}
+
+// outcomes gives the judged build n outcomes of which each k-th fails.
+func (b *bench) outcomes(build uint16, n, k int) {
+	u := &Unit{Door: 99, Listing: Listing{State: Ready, Build: build}}
+	for i := range n {
+		e := Acked
+		if k > 0 && i%k == 0 {
+			e = Errored
+		}
+		d := &Delivery{Cmd: &Command{answered: true}, To: u, sent: b.now, due: b.now + 5000, late: b.now + 5000, build: build}
+		u.heard, u.inFlight = b.now, 1
+		b.Outcome(b.now, d, e, 100, true, nil)
+	}
+}
+
+func TestVotes(t *testing.T) {
+	back, on := []Verdict{GoBack}, []Verdict{GoOn}
+	for _, c := range []struct {
+		name  string
+		more  map[string]any
+		phase Phase
+		n, k  int
+		wait  Tick
+		want  []Verdict
+	}{
+		{"too few outcomes, too early", nil, OnTrial, 19, 0, Second, nil},
+		{"enough outcomes", nil, OnTrial, 20, 0, Second, on},
+		{"few outcomes, 3 s", nil, OnTrial, 6, 0, 4 * Second, on},
+		{"too few even then", nil, OnTrial, 5, 0, 4 * Second, nil},
+		{"a wary test holds it back", nil, OnTrial, 7, 3, 4 * Second, nil},
+		{"alarm", nil, OnTrial, 30, 3, Second, back},
+		{"alarm after the release", nil, Released, 30, 3, Second, back},
+		{"no vote once it goes back", nil, RollingBack, 30, 3, Second, nil},
+		{"clocked, nothing against it", map[string]any{"rollout.control": "clocked"}, OnTrial, 20, 0, Second, nil},
+		{"clocked, wary", map[string]any{"rollout.control": "clocked"}, OnTrial, 7, 3, Second, []Verdict{Hold}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(c.more)
+			b.news(1, 0, Released, 1)
+			b.outcomes(1, 200, 0)
+			b.news(2, 0, c.phase, 0.2)
+			b.outcomes(2, c.n, c.k)
+			b.pass(c.wait)
+			check(t, "votes", fmt.Sprint(b.host.votes), fmt.Sprint(c.want))
+		})
+	}
+}
+
+func TestVoteIsSaidAgain(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		answer Ending
+		wait   Tick
+		want   int
+	}{{"it stands", Acked, 3 * Second, 1}, {"its life is over", Acked, 5 * Second, 2}, {"full", Full, Second, 2}, {"no answer", TimedOut, Second, 2}} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(nil)
+			b.news(1, 0, Released, 1)
+			b.news(2, 0, OnTrial, 0.2)
+			b.outcomes(2, 30, 0)
+			b.pass(Second / 10)
+			check(t, "first vote", len(b.host.votes), 1)
+			b.Stage(b.now, StageNews{Answer: true, Build: 2, Cap: 0.2, Ending: c.answer})
+			b.pass(c.wait)
+			check(t, "votes", len(b.host.votes), c.want)
+		})
+	}
+}
+
+func TestUnitIsSetAsideAndComesBack(t *testing.T) {
+	b := newBench(nil)
+	u := b.unit(1, 1, 0)
+	for range 3 {
+		b.weigh(u, true)
+	}
+	check(t, "aside", u.aside, true)
+	for range 8 {
+		b.weigh(u, false)
+	}
+	check(t, "aside after the trickle went well", u.aside, false)
+	b.common = 0.9
+	for range 10 {
+		b.weigh(u, true)
+	}
+	check(t, "aside when the whole fleet fails", u.aside, false)
+}
+
+func TestHeldByImportance(t *testing.T) {
+	b := newBench(map[string]any{"customers": []map[string]any{{"share": 0.5}, {"share": 0.5}}, "over_share_importance": 0.2})
+	b.opTypes[atMostOnce]["importance"] = 3.0
+	_, high := b.take(redeliverable), b.take(atMostOnce)
+	check(t, "the important command is first", b.held[0], high)
+	for range 4 * kept {
+		b.rank(&Command{Customer: 1})
+	}
+	check(t, "over its share", b.rank(&Command{Customer: 1}), 0.2)
+	check(t, "within its share", b.rank(&Command{Customer: 0}), 1)
+}
+
+// A relay that stalls finds every unit silent at once; that is no news of the units.
+func TestStallOfTheRelayItself(t *testing.T) {
+	b := newBench(nil)
+	for i := range 3 {
+		b.unit(uint32(i), 1, 0)
+		b.take(atMostOnce)
+	}
+	b.now += Second
+	b.Alarm(b.now, sweepTag)
+	check(t, "alone", b.alone, true)
+}
+
+// What ends at its client's own time is answered in the same call.
+func TestTimeOutAtTheDeadlineIsAnsweredAtOnce(t *testing.T) {
+	for _, op := range []int{redeliverable, deduplicated, atMostOnce} {
+		b := newBench(nil)
+		b.unit(1, 1, 0)
+		b.unit(2, 1, 0)
+		cmd := b.take(op)
+		b.now += 2 * Second
+		b.end(cmd, TimedOut)
+		check(t, "answered", cmd.answered, true)
+	}
+}
+
+func TestSilentUnitIsRescuedFrom(t *testing.T) {
+	for _, op := range []int{redeliverable, atMostOnce} {
+		b := newBench(nil)
+		b.unit(1, 1, 0)
+		cmd := b.take(op)
+		b.unit(2, 1, 0)
+		b.pass(Second)
+		check(t, "called off", len(b.host.called), map[int]int{redeliverable: 1, atMostOnce: 0}[op])
+		if op == redeliverable {
+			b.end(cmd, Cancelled)
+		}
+	}
+}
--- /dev/null
+++ b/choice/helpers_test.go
@@ -0,0 +1,118 @@
+package choice
+
+import "testing"
+
+// desk is a Host that writes down what the module does.
+type desk struct {
+	sent   []*Delivery
+	stops  []Tick
+	nacked map[*Command]Tick
+	failed map[*Command]bool
+	called []*Delivery
+	votes  []Verdict
+	logs   []string
+	watch  int
+}
+
+func (d *desk) Deliver(v *Delivery, stopAt Tick) {
+	d.sent, d.stops = append(d.sent, v), append(d.stops, stopAt)
+}
+func (d *desk) Nack(c *Command, back Tick)      { d.nacked[c] = back }
+func (d *desk) Fail(c *Command)                 { d.failed[c] = true }
+func (d *desk) Cancel(v *Delivery)              { d.called = append(d.called, v) }
+func (d *desk) WakeAt(Tick, uint32)             {}
+func (d *desk) Probe(*Unit)                     {}
+func (d *desk) CloseIdle(*Unit)                 {}
+func (d *desk) Tell(uint32, []byte)             {}
+func (d *desk) Log(text string)                 { d.logs = append(d.logs, text) }
+func (d *desk) Watch(bool)                      { d.watch++ }
+func (d *desk) Fetch()                          {}
+func (d *desk) Vote(_ uint16, _ int, v Verdict) { d.votes = append(d.votes, v) }
+
+const start = 100 * Second
+
+// opType numbers of the test settings.
+const (
+	redeliverable = iota
+	deduplicated
+	atMostOnce
+)
+
+// settings makes the settings of a small site; more overrides single names.
+func settings(more map[string]any) map[string]any {
+	op := func(kind, group string) map[string]any {
+		return map[string]any{"repeats": kind, "repeat_group": group, "repeat_window": 1.0,
+			"service_target": 0.5, "command_timeout": 2.0, "importance": 1.0}
+	}
+	set := map[string]any{
+		"relays": 1.0, "limits.max_deliveries": 3.0, "limits.may_cancel": true, "limits.come_back": true,
+		"limits.max_come_back": 1.0, "rules.cold": 4.0, "rules.cold_from": 0.5, "rules.fall_multiple": 2.0,
+		"rules.tip_after": 1.0, "rules.drain_grace": 1.0, "rules.ask_every": 10.0,
+		"rollout.exposure_free": 2.0, "rollout.exposure_window": 4.0, "rollout.exposure_by": "all",
+		"rollout.caps": []any{0.2, 1.0}, "rollout.stage_shares": []any{0.1, 1.0}, "rollout.guarded_stages": 0.0,
+		"rollout.control": "single", "rollout.vote_life": 4.0, "rollout.vote_wait": 1.0, "rollout.votes_per_s": 100.0,
+		"rollout.found_share": 0.0,
+		"op_types":            []map[string]any{op("redeliverable", ""), op("deduplicated", "zone"), op("at_most_once", "")},
+	}
+	for name, value := range more {
+		set[name] = value
+	}
+	return set
+}
+
+// bench is a module with its host and a clock.
+type bench struct {
+	*Relay
+	host *desk
+	now  Tick
+}
+
+func newBench(more map[string]any) *bench {
+	host := &desk{nacked: map[*Command]Tick{}, failed: map[*Command]bool{}}
+	return &bench{Relay: New(host, start, 7, settings(more)), host: host, now: start}
+}
+
+// unit lists a unit of a build as ready, started at a time (0: long ago).
+func (b *bench) unit(door uint32, build uint16, started Tick) *Unit {
+	u := &Unit{Door: door}
+	b.UnitListed(b.now, u, Listing{Zone: int(door), State: Ready, Build: build, Start: started})
+	return u
+}
+
+// take hands the module a command of an op type with two seconds left.
+func (b *bench) take(op int) *Command {
+	c := &Command{OpType: op, NotAfter: b.now + 2*Second}
+	b.Command(b.now, c)
+	return c
+}
+
+// pass moves the clock and lets the timer run every 50 ms on the way.
+func (b *bench) pass(span Tick) {
+	for end := b.now + span; b.now < end; {
+		b.now = min(end, b.now+sweepEvery)
+		b.Alarm(b.now, sweepTag)
+	}
+}
+
+// end ends the last delivery of a command.
+func (b *bench) end(c *Command, e Ending) {
+	b.Outcome(b.now, c.deliveries[len(c.deliveries)-1], e, 100, e == Acked, nil)
+}
+
+// answer acks all that is out.
+func (b *bench) answer() {
+	for _, d := range b.host.sent {
+		b.Outcome(b.now, d, Acked, 100, true, nil)
+	}
+}
+
+func (b *bench) news(build uint16, stage int, p Phase, share float64) {
+	b.Stage(b.now, StageNews{Build: build, Stage: stage, Phase: p, Cap: share, Ending: Acked})
+}
+
+func check[T comparable](t *testing.T, what string, got, want T) {
+	t.Helper()
+	if got != want {
+		t.Errorf("%s: got %v, want %v", what, got, want)
+	}
+}
--- a/choice/host.go
+++ b/choice/host.go
@@ -90,7 +90,8 @@
 	answered   bool
 	streaming  bool
 	held       bool
-	end        Tick // when it loses its use
+	rank       float64 // among the held
+	end        Tick    // when it loses its use
 }
 
 // Delivery is one try of a command at a unit.
@@ -149,3 +150,97 @@
 	Cap    float64
 	Age    Tick
 }
+
+// Relay decides for one instance.
+type Relay struct {
+	host     Host
+	set      map[string]any
+	opTypes  []map[string]any
+	now      Tick
+	born     Tick
+	x, carry uint32 // chance
+
+	units    []*Unit    // those listed as ready, in the order of listing
+	held     []*Command // those without a unit, in the order of their end
+	scratch  []*Command
+	common   float64     // the failure share of a unit in the middle of the fleet
+	alone    bool        // nearly every unit is in doubt
+	callers  []int       // the customers of the last commands
+	out      []*Delivery // not ended, oldest first
+	acks     []Tick      // of the last rateSpan
+	perUnit  float64     // acked a second at a warm unit, this relay's part
+	fair     float64     // part of the commands that the units of the build on trial can take
+	took     [][]Tick    // the last acked deliveries of each op type, at any build
+	typical  []Tick      // what one in ten of them exceeds
+	middle   []Tick      // and half of them
+	patience Tick        // how long a unit may stay silent
+	target   Tick        // the least service target
+
+	lanes   []lane // what the exposure rule counts: all, or one an op type
+	news    StageNews
+	told    bool
+	since   Tick // when the newest stage started
+	recount Tick // when a lower cap binds and the count starts anew
+	forward map[uint64]bool
+
+	base     *sample // of the earlier build
+	compared Tick    // when it last gave an outcome
+	judged   *trial
+	ballot   ballot
+
+	asking   bool
+	askAgain Tick
+	askGap   Tick
+}
+
+// lane is one count of the exposure rule.
+type lane struct {
+	taken, sent []Tick
+	credit      float64 // first deliveries due to the trial build
+}
+
+// sample is the last outcomes at one build, for each op type.
+type sample struct {
+	bad [][]float64
+}
+
+// trial is the judging of one build.
+type trial struct {
+	build   uint16
+	sample  *sample
+	streams []stream // all outcomes, one an op type, wrong answers
+	inStage int
+	before  float64 // the earlier build's failure share when this one came
+	middle  []Tick  // and the middle time of each op type's deliveries
+	alarm   string
+}
+
+// stream is the design's detector: a test started at each outcome.
+type stream struct {
+	n     int
+	tests []test
+}
+
+// test is one one-sided betting test.
+type test struct {
+	start  int
+	seen   float64
+	bad    float64
+	wealth float64
+}
+
+// ballot is this relay's vote.
+type ballot struct {
+	build   uint16
+	stage   int
+	verdict Verdict
+	state   int
+	at      Tick // when it goes out, stops being waited for, or no longer stands
+}
+
+const (
+	noBallot = iota
+	drawn
+	cast
+	stands
+)
--- /dev/null
+++ b/internal/drill/drill_test.go
@@ -0,0 +1,182 @@
+package drill
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/hex"
+	"math"
+	"strings"
+	"testing"
+
+	"silvercove/choice"
+)
+
+const info = `{"balancers": 1, "discovery": "automatic", "new_key": {"deep": [1, {"x": null}]},
+ "grades": [{"name": "a", "semantics": "read_like", "on_time": 1.0, "deadline": 4.0}],
+ "family_info": {"most_shares": [0.17, 1.0], "counted_by": "per_lane"},
+ "limits": {"send_cap": 3}, "rules": {"cold": 4.0, "cold_from": 0.3}}`
+
+// The wire page's own example records, for instance 3.
+const (
+	submit  = "02 03000000 c4913a5d708d0e00 00 00000000 640ad2557c3bf091 cba145b6f34d2540 fa7e6abc7493883f 01"
+	alarm   = "06 03000000 4d000000"
+	left    = "05 05000000 192b6f0e346a0f00"
+	catalog = "0d 00000000 02000000" +
+		"074a1203 0000 00 0000 01 0000803f 0000000000000000 00002442" +
+		"f211902c 0000 00 0000 01 0000c03f 6666666666661840 00002842"
+	roster    = "01 03000000 02 29000000 00000000"
+	finished  = "04 03000000 c4913a5d708d0e00 00 074a1203 01 8b6ce7fba9f1923f 01 01 00004040"
+	promotion = "0a 03000000 2a00 02 00 01 01 0000003e d7a3703d0ad7d33f"
+	digest    = "0b 03000000 2a00 00 b4000000 04000000 6abc74931804963f 000000000000f43f"
+	disputed  = "0c 03000000 f211902c 00 3333333333330340"
+)
+
+func raw(t *testing.T, text string) []byte {
+	t.Helper()
+	b, err := hex.DecodeString(strings.Join(strings.Fields(text), ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func born(number uint32, settings string) string {
+	b := []byte{0}
+	b = binary.LittleEndian.AppendUint32(b, number)
+	b = binary.LittleEndian.AppendUint64(b, 42)
+	b = binary.LittleEndian.AppendUint32(b, uint32(len(settings)))
+	return hex.EncodeToString(append(b, settings...))
+}
+
+// frame makes a batch at the wire page's example time.
+func frame(t *testing.T, records ...string) []byte {
+	t.Helper()
+	body := raw(t, "508d976e12d32040")
+	body = binary.LittleEndian.AppendUint32(body, uint32(len(records)))
+	for _, r := range records {
+		body = append(body, raw(t, r)...)
+	}
+	return append(binary.LittleEndian.AppendUint32(nil, uint32(len(body))), body...)
+}
+
+func TestEmptyBatch(t *testing.T) {
+	var out bytes.Buffer
+	if err := Serve(bytes.NewReader(raw(t, "0c000000 508d976e12d32040 00000000")), &out); err != nil {
+		t.Fatal(err)
+	}
+	if got := hex.EncodeToString(out.Bytes()); got != "0000000000000000" {
+		t.Errorf("reply %s", got)
+	}
+}
+
+func TestExampleRecords(t *testing.T) {
+	var out bytes.Buffer
+	in := frame(t, born(3, info), catalog, roster, promotion, submit, alarm, digest, disputed, finished)
+	in = append(in, frame(t, born(5, info), strings.Replace(left, "05 05", "05 03", 1), left)...)
+	if err := Serve(bytes.NewReader(in), &out); err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Contains(out.Bytes(), raw(t, "40 03000000 c4913a5d708d0e00")) {
+		t.Errorf("no SEND in %x", out.Bytes())
+	}
+}
+
+func TestRecordsOut(t *testing.T) {
+	w := &writer{}
+	rl := &relay{number: 3, out: w, cmds: map[uint64]*held{}}
+	cmd := &choice.Command{Door: 0xe8d705d3a91c4}
+	for _, c := range []struct {
+		name string
+		call func()
+		want string
+	}{
+		{"SEND", func() {
+			rl.cmds[cmd.Door] = &held{cmd: cmd}
+			rl.Deliver(&choice.Delivery{Cmd: cmd, To: &choice.Unit{Door: 0x03124a07}}, 84900)
+		}, "40 03000000 c4913a5d708d0e00 074a1203 7b14ae47e1fa2040"},
+		{"WAKE_AT", func() { rl.WakeAt(89122, 77) }, "44 03000000 89d2dee00bd32140 4d000000"},
+		{"SAY_LOG", func() { rl.Log("two servers known") }, "48 03000000 1100 74776f2073657276657273206b6e6f776e"},
+		{"OPINION", func() { rl.Vote(42, 2, choice.GoOn) }, "4c 03000000 2a00 02 01"},
+		{"MEMO_TO", func() { rl.Tell(choice.AllPeers, []byte("hi 7")) }, "47 03000000 ffffffff 0400 68692037"},
+		{"ABORT_ATTEMPT", func() { rl.Cancel(&choice.Delivery{Cmd: cmd, No: 1}) }, "43 03000000 c4913a5d708d0e00 01"},
+		{"TRACK", func() { rl.Watch(true) }, "4a 03000000 01"},
+		{"PULL", rl.Fetch, "4b 03000000"},
+		{"SURRENDER", func() { rl.Fail(cmd) }, "42 03000000 c4913a5d708d0e00"},
+		{"BOUNCE", func() { rl.Nack(cmd, choice.Second) }, "41 03000000 c4913a5d708d0e00 000000000000f03f"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w.begin()
+			c.call()
+			if got := w.finish()[8:]; !bytes.Equal(got, raw(t, c.want)) {
+				t.Errorf("got %x, want %x", got, raw(t, c.want))
+			}
+		})
+	}
+}
+
+func TestPagesResolveInEventOrder(t *testing.T) {
+	s := &server{relays: map[uint32]*relay{}}
+	first := strings.Replace(catalog, "02000000", "01000000", 1)[:len("0d 00000000 02000000")+len("074a1203 0000 00 0000 01 0000803f 0000000000000000 00002442")]
+	if _, err := s.batch(frame(t, born(3, info), first, roster, catalog)[4:]); err != nil {
+		t.Fatal(err)
+	}
+	if n := len(s.relays[3].units); n != 1 {
+		t.Errorf("%d units known, want the one that the list held when it was referred to", n)
+	}
+}
+
+func TestTicksRoundDown(t *testing.T) {
+	for seconds, want := range map[float64]choice.Tick{1: 10000, 0.00019: 1, 0.0002: 2, 8.412249: 84122, 0.3: 3000} {
+		if got := toTick(seconds); got != want {
+			t.Errorf("%v s: %d ticks, want %d", seconds, got, want)
+		}
+	}
+}
+
+func TestSettingsInOurWords(t *testing.T) {
+	m, err := readInfo([]byte(info))
+	if err != nil {
+		t.Fatal(err)
+	}
+	op := m["op_types"].([]map[string]any)[0]
+	for name, got := range map[string]any{"redeliverable": op["repeats"], "op_type": m["rollout.exposure_by"]} {
+		if got != name {
+			t.Errorf("got %v, want %s", got, name)
+		}
+	}
+	if m["limits.max_deliveries"] != 3.0 || op["service_target"] != 1.0 {
+		t.Errorf("figures %v, %v", m["limits.max_deliveries"], op["service_target"])
+	}
+}
+
+func TestBadInput(t *testing.T) {
+	whole := frame(t, born(3, info), submit)
+	nan := binary.LittleEndian.AppendUint64([]byte{12, 0, 0, 0}, math.Float64bits(math.NaN()))
+	for _, c := range []struct {
+		name string
+		in   []byte
+		want string
+	}{
+		{"length cut short", []byte{1, 0}, "frame length"},
+		{"frame cut short", whole[:len(whole)-3], "frame cut short"},
+		{"false length", []byte{0xff, 0xff, 0xff, 0xff, 1}, "frame cut short"},
+		{"unknown code", frame(t, "77"), "unknown code 119"},
+		{"unknown instance", frame(t, alarm), "unknown instance 3"},
+		{"count past the frame", frame(t, "0d 00000000 ffffffff"), "runs past"},
+		{"record past the frame", frame(t, born(3, info), "02 03000000 c491"), "runs past"},
+		{"more records than told", append(frame(t, born(3, info))[:12], 0, 0, 0, 0), "frame"},
+		{"list never given", frame(t, born(3, info), roster), "never given"},
+		{"list number", frame(t, "0d 10000000 00000000"), "list number 16"},
+		{"class", frame(t, born(3, info), strings.Replace(submit, "0e00 00", "0e00 07", 1)), "class 7 of 1"},
+		{"settings", frame(t, born(3, "{")), "settings"},
+		{"settings without classes", frame(t, born(3, "{}")), "grades"},
+		{"clock", append(nan, 0, 0, 0, 0), "no time"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			err := Serve(bytes.NewReader(c.in), &bytes.Buffer{})
+			if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+				t.Errorf("error %v, want one line with %q", err, c.want)
+			}
+		})
+	}
+}
