--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,6 +37,8 @@
 	excuse      = 0.2 // of slowness: by the fleet's own rise in a trial
 	overShare   = 1.5 // times its share: a customer's commands rank low
 	kept        = 64  // samples of an op type at one build
+	keptFlags   = 512 // flags are rare
+	keptUnit    = 16  // and of a unit
 	sweepEvery  = 50 * Second / 1000
 	lateness    = 2.0            // times the earlier build's slow deliveries
 	roomPart    = 0.2            // of a service target: what a unit may owe
@@ -60,7 +62,7 @@
 	if r.word("rollout.exposure_by") == "op_type" {
 		r.lanes = make([]lane, len(r.opTypes))
 	}
-	r.base = r.newSample()
+	r.base = newSample(len(r.opTypes))
 	r.took, r.typical = make([][]Tick, len(r.opTypes)), make([]Tick, len(r.opTypes))
 	r.middle = make([]Tick, len(r.opTypes))
 	r.target = Tick(math.MaxInt64)
@@ -83,7 +85,7 @@
 	cmd.taken = now
 	l := r.lane(cmd.OpType)
 	l.taken = append(l.taken, now)
-	l.credit = min(l.credit+capUse*min(r.trialCap(), r.fair), max(1, r.num("rollout.exposure_free")))
+	l.credit = min(l.credit+r.fair, max(1, r.num("rollout.exposure_free")))
 	cmd.rank = r.rank(cmd)
 	r.hold(cmd)
 	r.serve()
@@ -108,11 +110,9 @@
 	r.held = slices.Insert(r.held, at, cmd)
 }
 
-// rank is the importance of a command, less when its customer is over its share.
 func (r *Relay) rank(cmd *Command) float64 {
 	rank, _ := r.opTypes[cmd.OpType]["importance"].(float64)
-	r.callers = append(r.callers, cmd.Customer)
-	r.callers = r.callers[max(0, len(r.callers)-4*kept):]
+	r.callers = keep(r.callers, cmd.Customer, 4*kept)
 	if all, _ := r.set["customers"].([]map[string]any); cmd.Customer < len(all) && len(r.callers) == 4*kept {
 		asked := 0
 		for _, c := range r.callers {
@@ -205,11 +205,9 @@
 	if u.State != Ready || !r.harmless(cmd, u) {
 		return false
 	}
-	if n := len(cmd.deliveries); n > 0 && cmd.deliveries[n-1].To == u {
-		return false
-	}
-	if r.forward[cmd.Key] && cmd.Key != 0 && u.Build < r.news.Build &&
-		(r.news.Phase == OnTrial || r.news.Phase == Released) {
+	n := len(cmd.deliveries)
+	if n > 0 && cmd.deliveries[n-1].To == u || r.forward[cmd.Key] && cmd.Key != 0 &&
+		u.Build < r.news.Build && (r.news.Phase == OnTrial || r.news.Phase == Released) {
 		return false
 	}
 	if r.doubted(u) && !r.alone {
@@ -262,12 +260,9 @@
 	return float64(len(u.sends)) < 1+budget
 }
 
-// onTrial says whether the exposure rule counts a build.
+// onTrial: the exposure rule counts this build.
 func (r *Relay) onTrial(build uint16) bool {
-	if !r.told {
-		return false
-	}
-	return build > r.news.Build || build == r.news.Build && r.news.Phase != Released
+	return r.told && (build > r.news.Build || build == r.news.Build && r.news.Phase != Released)
 }
 
 // capOf is the cap of a build on trial; one that the news has not named counts as
@@ -279,22 +274,11 @@
 	return r.first("rollout.caps"), 0
 }
 
-// trialCap is the cap of the newest build, 0 where nothing is on trial.
-func (r *Relay) trialCap() float64 {
-	if r.judged == nil || !r.onTrial(r.judged.build) {
-		return 0
-	}
-	share, _ := r.capOf(r.judged.build)
-	return share
-}
-
 // exposable keeps the exposure rule for one more delivery at a build on trial.
 func (r *Relay) exposable(cmd *Command, l *lane, build uint16) bool {
 	share, stage := r.capOf(build)
-	if share <= 0 {
-		return false
-	}
-	if stage < int(r.num("rollout.guarded_stages")) && r.word2(cmd, "repeats") != "redeliverable" {
+	guarded := stage < int(r.num("rollout.guarded_stages"))
+	if share <= 0 || guarded && r.word2(cmd, "repeats") != "redeliverable" {
 		return false
 	}
 	window := r.span("rollout.exposure_window") + 1
@@ -346,7 +330,7 @@
 		return
 	}
 	var back Tick
-	if yes, _ := r.set["limits.come_back"].(bool); yes {
+	if r.flag("limits.come_back") {
 		target := r.opSpan(cmd, "service_target")
 		back = min(r.span("limits.max_come_back"), target/2+Tick(r.chance(int(target/2)+1)))
 	}
@@ -369,11 +353,9 @@
 		u.heard = now
 	}
 	if ending == Acked {
-		u.acks = append(u.acks, now)
-		u.acks = u.acks[max(0, len(u.acks)-16):]
+		u.acks = keep(u.acks, now, keptUnit)
 		r.acks = append(r.acks, now)
-		r.took[cmd.OpType] = append(r.took[cmd.OpType], took)
-		r.took[cmd.OpType] = r.took[cmd.OpType][max(0, len(r.took[cmd.OpType])-kept):]
+		r.took[cmd.OpType] = keep(r.took[cmd.OpType], took, kept)
 		if key := cmd.Key; key != 0 && d.build == r.news.Build && r.flag("rollout.forward_only") {
 			r.forward[key] = true
 		}
@@ -383,7 +365,7 @@
 		cmd.answered = true
 	}
 	if !cmd.answered && !cmd.held {
-		if r.anyRepeat(cmd) {
+		if slices.ContainsFunc(r.units, func(u *Unit) bool { return r.harmless(cmd, u) }) {
 			r.hold(cmd)
 		} else {
 			r.giveUp(cmd)
@@ -393,11 +375,6 @@
 	r.consider()
 }
 
-// anyRepeat says whether some listed unit could get another delivery.
-func (r *Relay) anyRepeat(cmd *Command) bool {
-	return slices.ContainsFunc(r.units, func(u *Unit) bool { return r.harmless(cmd, u) })
-}
-
 // score turns the end of a delivery into an outcome of its unit and of its build: an
 // error or a reset scores 1, an answer 0. Whether it took longer than its due counts in a
 // stream of its own, as a unit on trial carries more load than others and may be warming.
@@ -424,12 +401,12 @@
 	}
 	switch {
 	case d.build < j.build:
-		r.base.add(op, x)
+		r.base.add(op, x, kept)
 	case d.build == j.build:
-		j.sample.add(op, x)
+		j.sample.add(op, x, kept)
 		j.inStage++
-		r.see(0, x, r.base.share(-1)+margin, alpha)
-		r.see(1+op, x, r.base.share(op)+margin, alpha/float64(len(r.opTypes)))
+		r.see(0, x, r.share(-1)+margin)
+		r.see(1+op, x, r.share(op)+margin)
 	}
 }
 
@@ -446,15 +423,15 @@
 	}
 	switch {
 	case d.build < j.build:
-		r.base.add(last, x)
+		r.base.add(last, x, kept)
 		r.compared = r.now
 	case d.build == j.build:
-		j.sample.add(last, x)
-		edge := min(r.base.share(last), j.before+excuse) + burden + margin
+		j.sample.add(last, x, kept)
+		edge := min(r.share(last), j.before+excuse) + burden + margin
 		if r.now-r.compared > Second {
 			edge += excuse
 		}
-		r.see(1+last, x, edge, alpha)
+		r.see(1+last, x, edge)
 	}
 }
 
@@ -472,10 +449,10 @@
 	switch {
 	case r.num("rollout.found_share") == 0:
 	case build == j.build:
-		j.sample.add(last, x)
-		r.see(1+last, x, r.base.share(last)+margin*r.num("rollout.found_share"), alpha)
+		j.sample.add(last, x, keptFlags)
+		r.see(1+last, x, r.share(last)+margin*r.num("rollout.found_share"))
 	case build < j.build:
-		r.base.add(last, x)
+		r.base.add(last, x, keptFlags)
 	}
 }
 
@@ -490,17 +467,16 @@
 // that fails most of its deliveries against one that fails as the middle of the fleet
 // does, so that a trouble of all units sets none aside.
 func (r *Relay) weigh(u *Unit, bad bool) {
-	usual := min(max(0.2, 1.5*r.common), 0.7)
+	usual, mark := min(max(0.2, 1.5*r.common), 0.7), 0.0
 	if bad {
+		mark = 1
 		u.doubt = max(1, u.doubt) * failing / usual
 		u.gap = min(max(u.gap*2, gapFirst), gapMost)
-		u.marks = append(u.marks, 1)
 	} else {
 		u.doubt = max(1, u.doubt*(1-failing)/(1-usual))
 		u.gap /= 2
-		u.marks = append(u.marks, 0)
 	}
-	u.marks = u.marks[max(0, len(u.marks)-16):]
+	u.marks = keep(u.marks, mark, keptUnit)
 	switch {
 	case !u.aside && u.doubt >= doubtAside:
 		u.aside = true
@@ -512,19 +488,14 @@
 	}
 }
 
-// see gives one outcome to a stream of the judged build.
-func (r *Relay) see(which int, x, b, level float64) {
-	j := r.judged
+// see gives one outcome to a stream of the judged build: all, one op type, flags, slowness.
+func (r *Relay) see(which int, x, b float64) {
+	j, ops := r.judged, len(r.opTypes)
 	s := &j.streams[which]
-	if n, wealth, ok := s.see(x, min(b, 0.9), level); ok && j.alarm == "" {
-		name := "all commands"
-		switch {
-		case which == len(j.streams)-1:
-			name = "slowness"
-		case which == len(j.streams)-2:
-			name = "wrong answers"
-		case which > 0:
-			name = fmt.Sprint("op type ", which-1)
+	if n, wealth, ok := s.see(x, min(b, 0.9)); ok && j.alarm == "" {
+		name := fmt.Sprint("op type ", which-1)
+		if which == 0 || which > ops {
+			name = map[int]string{0: "all commands", ops + 1: "wrong answers", ops + 2: "slowness"}[which]
 		}
 		j.alarm = fmt.Sprintf("%s: test %d of %d, wealth %.3g against a share of %.3f", name, n, s.n, wealth, b)
 		r.host.Log(fmt.Sprintf("build %d alarm on %s", j.build, j.alarm))
@@ -532,7 +503,7 @@
 }
 
 // see opens a test with this outcome, where there is room, and bets in all.
-func (s *stream) see(x, b, level float64) (start int, wealth float64, alarm bool) {
+func (s *stream) see(x, b float64) (start int, wealth float64, alarm bool) {
 	s.n++
 	opened := test{start: s.n, wealth: 1}
 	if len(s.tests) < mostTests {
@@ -547,7 +518,7 @@
 		t.wealth *= 1 + bet*(x-b)
 		t.seen++
 		t.bad += x
-		if t.wealth >= threshold(t.start, level) && !alarm {
+		if t.wealth >= s.threshold(t) && !alarm {
 			start, wealth, alarm = t.start, t.wealth, true
 		}
 	}
@@ -555,24 +526,15 @@
 }
 
 // threshold is the wealth at which the n-th test rejects.
-func threshold(n int, level float64) float64 {
-	return math.Pi * math.Pi * float64(n) * float64(n) / (6 * level)
+func (s *stream) threshold(t *test) float64 {
+	return math.Pi * math.Pi * float64(t.start) * float64(t.start) / (6 * s.level)
 }
 
 // wary says whether any test holds a vote to go on back.
-func (j *trial) wary(ops int) bool {
-	for i := range j.streams {
-		level := alpha
-		if i > 0 && i <= ops {
-			level = alpha / float64(ops)
-		}
-		for _, t := range j.streams[i].tests {
-			if t.wealth > math.Sqrt(threshold(t.start, level)) {
-				return true
-			}
-		}
-	}
-	return false
+func (j *trial) wary() bool {
+	return slices.ContainsFunc(j.streams, func(s stream) bool {
+		return slices.ContainsFunc(s.tests, func(t test) bool { return t.wealth > math.Sqrt(s.threshold(&t)) })
+	})
 }
 
 // Alarm takes a timer.
@@ -608,12 +570,18 @@
 	// the machines' part of the fleet, with the slack that the first stage's cap gives over
 	// its share; once they run warm the cap alone binds. Guards against drowning the few.
 	r.fair = trial / max(whole, 1) * r.first("rollout.caps") / max(r.first("rollout.stage_shares"), 0.01)
+	if r.judged != nil {
+		share, _ := r.capOf(r.judged.build)
+		r.fair = capUse * min(r.fair, share)
+	}
 	slices.Sort(shares)
 	r.common = shares[len(shares)/2]
 	// When nearly every unit is in doubt the trouble is this relay's own, such as a stall.
 	r.alone = 8*doubted >= 7*len(r.units)
-	if r.asking && now >= r.askAgain {
-		r.ask()
+	if r.asking && now >= r.askAgain { // asks for the list's changes, less often each time
+		r.host.Watch(true)
+		r.askGap = min(2*r.askGap, r.span("rules.ask_every")/2)
+		r.askAgain = now + r.askGap/2 + Tick(r.chance(int(r.askGap)))
 	}
 	for _, cmd := range r.held {
 		if !cmd.answered && now >= cmd.end-r.typical[cmd.OpType] {
@@ -633,7 +601,7 @@
 		!r.silent(d.To) || r.now-d.sent < r.patience || r.now >= cmd.end-r.typical[cmd.OpType] {
 		return
 	}
-	if again := r.word2(cmd, "repeats"); again == "at_most_once" || d.No+1 >= int(r.num("limits.max_deliveries")) {
+	if r.word2(cmd, "repeats") == "at_most_once" || d.No+1 >= int(r.num("limits.max_deliveries")) {
 		return
 	}
 	d.cancelled = true
@@ -641,13 +609,6 @@
 	r.host.Cancel(d)
 }
 
-// ask asks for the list's changes again, less often after each failure.
-func (r *Relay) ask() {
-	r.host.Watch(true)
-	r.askGap = min(2*r.askGap, r.span("rules.ask_every")/2)
-	r.askAgain = r.now + r.askGap/2 + Tick(r.chance(int(r.askGap)))
-}
-
 // Listed takes the end of one piece of news of the list, or that a call failed.
 func (r *Relay) Listed(now Tick, ok bool) {
 	r.now = now
@@ -693,7 +654,15 @@
 		r.base = j.sample // it was kept: now it is the earlier build
 	}
 	clear(r.forward)
-	r.judged = &trial{build: build, middle: slices.Clone(r.middle), before: r.base.share(len(r.opTypes) + 1), sample: r.newSample(), streams: make([]stream, len(r.opTypes)+3)}
+	ops := len(r.opTypes)
+	r.judged = &trial{build: build, sample: newSample(len(r.opTypes)), streams: make([]stream, ops+3),
+		before: r.share(ops + 1), middle: slices.Clone(r.middle)}
+	for i := range r.judged.streams {
+		r.judged.streams[i].level = alpha
+		if i > 0 && i <= ops {
+			r.judged.streams[i].level = alpha / float64(ops)
+		}
+	}
 }
 
 // Stage takes news of the newest build, or the answer to a vote.
@@ -725,23 +694,19 @@
 	if !r.told || j == nil || j.build != r.news.Build || r.news.Phase != OnTrial && r.news.Phase != Released {
 		return NoVote
 	}
-	if j.alarm != "" {
-		return GoBack
-	}
-	if r.news.Phase == Released {
-		return NoVote
-	}
 	// A fleet much slower than before the trial also holds the vote back: it may be the
 	// build's doing, and is no moment to move machines.
-	wary := j.wary(len(r.opTypes)) || r.base.share(len(r.opTypes)+1) > j.before+excuse
-	if r.word("rollout.control") == "clocked" {
-		if wary {
-			return Hold
-		}
-		return NoVote
-	}
+	wary := j.wary() || r.share(len(r.opTypes)+1) > j.before+excuse
 	timed := r.now-r.since >= voteAfter && j.streams[0].n >= leastTimed
-	if !wary && (j.inStage >= leastSample || timed) {
+	clocked := r.word("rollout.control") == "clocked"
+	switch {
+	case j.alarm != "":
+		return GoBack
+	case r.news.Phase == Released || !wary && clocked:
+		return NoVote
+	case clocked:
+		return Hold
+	case !wary && (j.inStage >= leastSample || timed):
 		return GoOn
 	}
 	return NoVote
@@ -790,11 +755,9 @@
 	if v.state != cast {
 		return
 	}
-	switch ending {
-	case Acked:
-		v.state, v.at = stands, r.now+r.span("rollout.vote_life")
-	default: // it may not count: again, after a moment
-		v.state, v.at = stands, r.now+Second/4+Tick(r.chance(int(Second/2)))
+	v.state, v.at = stands, r.now+r.span("rollout.vote_life")
+	if ending != Acked { // it may not count: again, after a moment
+		v.at = r.now + Second/4 + Tick(r.chance(int(Second/2)))
 	}
 }
 
@@ -804,7 +767,7 @@
 	if r.judged != nil {
 		r.answer(u.Build, 1)
 		if u.Build == r.judged.build {
-			r.see(0, 1, r.base.share(-1)+margin, alpha)
+			r.see(0, 1, r.share(-1)+margin)
 		}
 	}
 	r.consider()
@@ -838,38 +801,10 @@
 // Told takes a message of another relay; none is sent so far.
 func (r *Relay) Told(now Tick, from uint32, data []byte) { r.now = now }
 
-func (r *Relay) newSample() *sample {
-	return &sample{bad: make([][]float64, len(r.opTypes)+2)}
-}
-
-func (s *sample) add(op int, bad float64) {
-	s.bad[op] = append(s.bad[op], bad)
-	most := kept
-	if op == len(s.bad)-2 {
-		most *= 8 // flags are rare
-	}
-	s.bad[op] = s.bad[op][max(0, len(s.bad[op])-most):]
-}
-
-func mean(x []float64) float64 {
-	sum := 0.0
-	for _, v := range x {
-		sum += v
-	}
-	return sum / float64(max(1, len(x)))
-}
-
-// share is the failure share of one op type, or of all (-1), or the flagged share.
-func (s *sample) share(op int) float64 {
-	bad, n := 0.0, 0.0
-	for i := range s.bad {
-		if op == i || op < 0 && i < len(s.bad)-2 {
-			for _, x := range s.bad[i] {
-				bad += x
-			}
-			n += float64(len(s.bad[i]))
-		}
-	}
+// share is the earlier build's failure share of one op type, or of all (-1), the share
+// of its answers that were flagged, or the share of its deliveries that were slow.
+func (r *Relay) share(which int) float64 {
+	bad, n := r.base.count(which)
 	return (bad + 0.5) / (n + 1)
 }
 
@@ -892,38 +827,3 @@
 }
 
 func (r *Relay) lane(op int) *lane { return &r.lanes[min(op, len(r.lanes)-1)] }
-
-// chance draws from 0 to n-1 by multiply-with-carry.
-func (r *Relay) chance(n int) int {
-	t := 4294957665*uint64(r.x) + uint64(r.carry)
-	r.x, r.carry = uint32(t), uint32(t>>32)
-	return int(uint64(r.x) * uint64(max(n, 1)) >> 32)
-}
-
-func (r *Relay) num(name string) float64 { v, _ := r.set[name].(float64); return v }
-func (r *Relay) first(name string) float64 {
-	if l, _ := r.set[name].([]any); len(l) > 0 {
-		f, _ := l[0].(float64)
-		return f
-	}
-	return 0
-}
-func (r *Relay) word(name string) string { v, _ := r.set[name].(string); return v }
-func (r *Relay) flag(name string) bool   { v, _ := r.set[name].(bool); return v }
-func (r *Relay) span(name string) Tick   { return ticks(r.set[name]) }
-func (r *Relay) word2(c *Command, name string) string {
-	v, _ := r.opTypes[c.OpType][name].(string)
-	return v
-}
-func (r *Relay) opSpan(c *Command, name string) Tick { return ticks(r.opTypes[c.OpType][name]) }
-
-func ticks(v any) Tick { f, _ := v.(float64); return Tick(f * float64(Second)) }
-
-// recent drops the times before a moment.
-func recent(times []Tick, from Tick) []Tick {
-	i := 0
-	for i < len(times) && times[i] < from {
-		i++
-	}
-	return times[i:]
-}
--- a/choice/host.go
+++ b/choice/host.go
@@ -199,11 +199,6 @@
 	credit      float64 // first deliveries due to the trial build
 }
 
-// sample is the last outcomes at one build, for each op type.
-type sample struct {
-	bad [][]float64
-}
-
 // trial is the judging of one build.
 type trial struct {
 	build   uint16
@@ -217,6 +212,7 @@
 
 // stream is the design's detector: a test started at each outcome.
 type stream struct {
+	level float64 // its part of the false-alarm budget
 	n     int
 	tests []test
 }
