--- a/choice/choice.go
+++ b/choice/choice.go
@@ -40,17 +40,16 @@
 	keptFlags   = 512 // flags are rare
 	keptUnit    = 16  // and of a unit
 	sweepEvery  = 50 * Second / 1000
-	lateness    = 2.0            // times the earlier build's slow deliveries
-	roomPart    = 0.2            // of a service target: what a unit may owe
-	roomLeast   = 1.0            // delivery in flight that every warm unit may have
-	coldPart    = 0.6            // of what the cold rule allows
-	rateSpan    = 2 * Second     // over which the relay's own rate is taken
-	failing     = 0.75           // failure share of a unit that is to be set aside
-	doubtAside  = 27.0           // sets a unit aside
-	gapFirst    = Second / 2     // between the first deliveries of a trickle
-	gapMost     = 4 * Second     // after failures
-	gapDone     = Second / 20    // a trickle this dense ends
-	sweepTag    = uint32(0x5eed) // the one timer
+	lateness    = 2.0         // times the earlier build's slow deliveries
+	roomPart    = 0.2         // of a service target: what a unit may owe
+	roomLeast   = 1.0         // delivery in flight that every warm unit may have
+	coldPart    = 0.6         // of what the cold rule allows
+	rateSpan    = 2 * Second  // over which the relay's own rate is taken
+	failing     = 0.75        // failure share of a unit that is to be set aside
+	doubtAside  = 27.0        // sets a unit aside
+	gapFirst    = Second / 2  // between the first deliveries of a trickle
+	gapMost     = 4 * Second  // after failures
+	gapDone     = Second / 20 // a trickle this dense ends
 )
 
 // New makes the module of one instance, started now with its seed and settings.
@@ -75,7 +74,7 @@
 		r.asking, r.askGap = true, Second
 		r.askAgain = now + r.span("rules.ask_every")/2
 	}
-	r.host.WakeAt(now+sweepEvery, sweepTag)
+	r.host.WakeAt(now+sweepEvery, 0)
 	return r
 }
 
@@ -341,14 +340,9 @@
 func (r *Relay) Outcome(now Tick, d *Delivery, ending Ending, took Tick, settled bool, load []float64) {
 	r.now = now
 	cmd, u := d.Cmd, d.To
-	if d.ended {
-		return
-	}
 	d.ended, d.ending = true, ending
 	u.inFlight--
-	if i := slices.Index(r.out, d); i >= 0 {
-		r.out = slices.Delete(r.out, i, i+1)
-	}
+	r.out = slices.DeleteFunc(r.out, func(o *Delivery) bool { return o == d })
 	if ending != TimedOut && ending != ConnectFailed && ending != Cancelled && ending != Moot {
 		u.heard = now
 	}
@@ -361,9 +355,7 @@
 		}
 	}
 	r.score(d)
-	if settled {
-		cmd.answered = true
-	}
+	cmd.answered = cmd.answered || settled
 	if !cmd.answered && !cmd.held {
 		if slices.ContainsFunc(r.units, func(u *Unit) bool { return r.harmless(cmd, u) }) {
 			r.hold(cmd)
@@ -439,7 +431,9 @@
 // speaks for itself and not for the build. Guards against dead, silent and broken units;
 // hurts when a bad build shows at some of its units only.
 func (r *Relay) spares(d *Delivery, bad bool) bool {
-	return (d.To.aside || bad && d.To.heard < d.sent) && r.othersAnswer(d.To, d)
+	return (d.To.aside || bad && d.To.heard < d.sent) && slices.ContainsFunc(r.units, func(o *Unit) bool {
+		return o != d.To && o.Build == d.build && !o.aside && o.heard >= d.sent
+	})
 }
 
 // answer gives an answer (0) or a flag (1) to the stream that counts wrong answers;
@@ -456,13 +450,6 @@
 	}
 }
 
-// othersAnswer says whether another unit of the build has answered since.
-func (r *Relay) othersAnswer(u *Unit, d *Delivery) bool {
-	return slices.ContainsFunc(r.units, func(o *Unit) bool {
-		return o != u && o.Build == d.build && !o.aside && o.heard >= d.sent
-	})
-}
-
 // weigh is the sequential test on a unit's outcomes, and its trickle. It bets on a unit
 // that fails most of its deliveries against one that fails as the middle of the fleet
 // does, so that a trouble of all units sets none aside.
@@ -537,13 +524,10 @@
 	})
 }
 
-// Alarm takes a timer.
+// Alarm takes the one timer: it scores what is overdue and works out the figures.
 func (r *Relay) Alarm(now Tick, tag uint32) {
 	r.now = now
-	if tag != sweepTag {
-		return
-	}
-	r.host.WakeAt(now+sweepEvery, sweepTag)
+	r.host.WakeAt(now+sweepEvery, tag)
 	for _, d := range r.out {
 		if now > d.due && !d.slow && !r.spares(d, true) {
 			r.pace(d, true)
@@ -597,11 +581,9 @@
 // that still answers is left alone, as trying again would only add to its load.
 func (r *Relay) rescue(d *Delivery) {
 	cmd := d.Cmd
-	if d.cancelled || cmd.answered || cmd.streaming || !r.flag("limits.may_cancel") ||
-		!r.silent(d.To) || r.now-d.sent < r.patience || r.now >= cmd.end-r.typical[cmd.OpType] {
-		return
-	}
-	if r.word2(cmd, "repeats") == "at_most_once" || d.No+1 >= int(r.num("limits.max_deliveries")) {
+	if d.cancelled || cmd.answered || cmd.streaming || !r.flag("limits.may_cancel") || !r.silent(d.To) ||
+		r.now-d.sent < r.patience || r.now >= cmd.end-r.typical[cmd.OpType] ||
+		r.word2(cmd, "repeats") == "at_most_once" || d.No+1 >= int(r.num("limits.max_deliveries")) {
 		return
 	}
 	d.cancelled = true
@@ -612,13 +594,10 @@
 // Listed takes the end of one piece of news of the list, or that a call failed.
 func (r *Relay) Listed(now Tick, ok bool) {
 	r.now = now
-	if r.word("discovery") == "subscribe" {
-		if !ok && !r.asking {
-			r.asking, r.askGap = true, Second/2
-			r.askAgain = now + Tick(r.chance(int(Second)))
-		} else if ok && now > r.born {
-			r.asking = false
-		}
+	if ok {
+		r.asking = r.asking && now == r.born
+	} else if !r.asking {
+		r.asking, r.askGap, r.askAgain = true, Second/2, now+Tick(r.chance(int(Second)))
 	}
 	r.serve()
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -319,7 +319,7 @@
 		b.take(atMostOnce)
 	}
 	b.now += Second
-	b.Alarm(b.now, sweepTag)
+	b.Alarm(b.now, 0)
 	check(t, "alone", b.alone, true)
 }
 
--- a/choice/helpers_test.go
+++ b/choice/helpers_test.go
@@ -90,7 +90,7 @@
 func (b *bench) pass(span Tick) {
 	for end := b.now + span; b.now < end; {
 		b.now = min(end, b.now+sweepEvery)
-		b.Alarm(b.now, sweepTag)
+		b.Alarm(b.now, 0)
 	}
 }
 
