Let relays tell each other their counts of outcomes where they may talk

Guards against any fault too rare for one relay's part; a lost message only delays; a false count of one relay would mislead all.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -13,7 +13,7 @@
 //  2. commands that find no room are held, and given up when the target is lost
 //  3. units set aside by a sequential test, with a trickle that doubles
 //  4. the cold budget
-//  5. one test for each op type and one for wrong answers, beside the first
+//  5. a test for each op type and one for wrong answers, fed by peers where they may talk
 //  6. lateness against the earlier build, scored as the time-out of a delivery
 package choice
 
@@ -44,6 +44,7 @@
 	roomPart    = 0.2         // of a service target: what a unit may owe
 	roomLeast   = 1.0         // delivery in flight that every warm unit may have
 	coldPart    = 0.6         // of what the cold rule allows
+	tellEvery   = Second / 2  // between messages to peers
 	rateSpan    = 2 * Second  // over which the relay's own rate is taken
 	failing     = 0.75        // failure share of a unit that is to be set aside
 	doubtAside  = 27.0        // sets a unit aside
@@ -397,15 +398,16 @@
 	case d.build == j.build:
 		j.sample.add(op, x, kept)
 		j.inStage++
+		r.note(op, x)
 		r.see(0, x, r.share(-1)+margin)
-		r.see(1+op, x, r.share(op)+margin)
+		r.see(1+op, x, r.edge(op))
 	}
 }
 
 // pace scores a delivery that has come to its due time (1) or ended before it (0): a
 // delivery that is slow counts as timed out. Its edge is raised: units on trial carry more
 // load by the cap and may be warming, and the earlier build excuses a little more than it
-// showed before the trial; once no earlier build answers, the old figure excuses the more.
+// showed before the trial.
 // Guards against builds that are slow, turn slow, or slow every unit with the traffic they
 // get; hurts a good build whose trial meets a long overload.
 func (r *Relay) pace(d *Delivery, slow bool) {
@@ -419,11 +421,7 @@
 		r.compared = r.now
 	case d.build == j.build:
 		j.sample.add(last, x, kept)
-		edge := min(r.share(last), j.before+excuse) + burden + margin
-		if r.now-r.compared > Second {
-			edge += excuse
-		}
-		r.see(1+last, x, edge)
+		r.see(1+last, x, min(r.share(last), j.before+excuse)+burden+margin)
 	}
 }
 
@@ -436,6 +434,14 @@
 	})
 }
 
+// edge is what an outcome of one op type is held against, or a flag.
+func (r *Relay) edge(which int) float64 {
+	if which == len(r.opTypes) {
+		return r.share(which) + margin*r.num("rollout.found_share")
+	}
+	return r.share(which) + margin
+}
+
 // answer gives an answer (0) or a flag (1) to the stream that counts wrong answers;
 // its margin shrinks with the share of wrong answers that is found.
 func (r *Relay) answer(build uint16, x float64) {
@@ -444,7 +450,8 @@
 	case r.num("rollout.found_share") == 0:
 	case build == j.build:
 		j.sample.add(last, x, keptFlags)
-		r.see(1+last, x, r.share(last)+margin*r.num("rollout.found_share"))
+		r.note(last, x)
+		r.see(1+last, x, r.edge(last))
 	case build < j.build:
 		r.base.add(last, x, keptFlags)
 	}
@@ -534,6 +541,11 @@
 		}
 		r.rescue(d)
 	}
+	if r.flag("limits.peers") && now >= r.tellAt && r.judged != nil {
+		r.tellAt = now + tellEvery
+		r.host.Tell(AllPeers, append([]byte{byte(r.judged.build), byte(r.judged.build >> 8)}, r.tell...))
+		clear(r.tell)
+	}
 	r.figure()
 	r.acks = recent(r.acks, now-rateSpan)
 	whole, trial, shares, doubted := 0.0, 0.0, []float64{0}, 0
@@ -634,6 +646,7 @@
 	}
 	clear(r.forward)
 	ops := len(r.opTypes)
+	r.tell = make([]byte, 2*ops+2)
 	r.judged = &trial{build: build, sample: newSample(len(r.opTypes)), streams: make([]stream, ops+3),
 		before: r.share(ops + 1), middle: slices.Clone(r.middle)}
 	for i := range r.judged.streams {
@@ -777,8 +790,32 @@
 // Probed takes the result of a probe; none is sent so far.
 func (r *Relay) Probed(now Tick, u *Unit, ending Ending, took Tick, load []float64) { r.now = now }
 
-// Told takes a message of another relay; none is sent so far.
-func (r *Relay) Told(now Tick, from uint32, data []byte) { r.now = now }
+// note counts an outcome at the judged build for the other relays.
+func (r *Relay) note(which int, x float64) {
+	r.tell[2*which] = min(r.tell[2*which]+1, 254)
+	r.tell[2*which+1] = min(r.tell[2*which+1]+byte(x), r.tell[2*which])
+}
+
+// Told takes the counts of another relay: outcomes like its own, the bad ones spread
+// evenly. A relay sees a part of the traffic only; together they see a bad build sooner.
+func (r *Relay) Told(now Tick, from uint32, data []byte) {
+	r.now = now
+	j, ops := r.judged, len(r.opTypes)
+	if j == nil || len(data) != 2+len(r.tell) || uint16(data[0])|uint16(data[1])<<8 != j.build {
+		return
+	}
+	for which := range ops + 1 {
+		n, bad := int(data[2+2*which]), int(data[3+2*which])
+		for i := range n {
+			x := float64((i+1)*bad/n - i*bad/n)
+			if which < ops {
+				r.see(0, x, r.share(-1)+margin)
+			}
+			r.see(1+which, x, r.edge(which))
+		}
+	}
+	r.consider()
+}
 
 // share is the earlier build's failure share of one op type, or of all (-1), the share
 // of its answers that were flagged, or the share of its deliveries that were slow.
--- a/choice/host.go
+++ b/choice/host.go
@@ -176,6 +176,9 @@
 	patience Tick        // how long a unit may stay silent
 	target   Tick        // the least service target
 
+	tell   []byte // counts for the other relays: of each op type and of answers, all and bad
+	tellAt Tick
+
 	lanes   []lane // what the exposure rule counts: all, or one an op type
 	news    StageNews
 	told    bool
