--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,7 +33,7 @@
 	leastTimed  = 6    // outcomes of the build before a timed vote to go on
 	voteAfter   = 3 * Second
 	drawnOut    = 3   // times the middle time before the trial is slow
-	burden      = 0.3 // of slowness: by the greater load of units on trial
+	burden      = 0.15 // of slowness: by the greater load of units on trial
 	excuse      = 0.2 // of slowness: by the fleet's own rise in a trial
 	overShare   = 1.5 // times its share: a customer's commands rank low
 	kept        = 64  // samples of an op type at one build
