--- a/choice/choice.go
+++ b/choice/choice.go
@@ -2,11 +2,10 @@
 // delivery may take, what is tried again or given up, and how the relay votes on
 // the build on trial.
 //
-// How to call it: New makes the Relay of one instance. Call the one method that
-// names what has happened, with the time; it acts at once through the Host that New
-// was given. Calls are made one at a time, in the order of the events. The types
-// and the Host interface are in host.go. Settings come as a plain map of names to
-// values (seconds for times) and are picked where they are needed.
+// How to call it: New makes the Relay of one instance. Call the one method that names
+// what has happened, with the time; it acts at once through the Host that New was given.
+// Calls come one at a time, in order. Types and the Host interface are in host.go.
+// Settings are a plain map of names to values, times in seconds.
 //
 // The design (docs/design.md) decides the ordinary path. Beside it stand:
 //  1. the room of a unit: no more in flight than it answers in part of a target
@@ -18,7 +17,6 @@
 package choice
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -32,17 +30,16 @@
 	leastSample = 20   // outcomes in a stage before a vote to go on
 	leastTimed  = 6    // outcomes of the build before a timed vote to go on
 	voteAfter   = 3 * Second
-	drawnOut    = 3   // times the middle time before the trial is slow
-	burden      = 0.15 // of slowness: by the greater load of units on trial
-	excuse      = 0.2 // of slowness: by the fleet's own rise in a trial
-	overShare   = 1.5 // times its share: a customer's commands rank low
-	kept        = 64  // samples of an op type at one build
-	keptFlags   = 512 // flags are rare
-	keptUnit    = 16  // and of a unit
+	drawnOut    = 3    // times the middle time before the trial is slow
+	burden      = 0.22 // of slowness: by the greater load of units on trial
+	excuse      = 0.2  // of slowness: by the fleet's own rise in a trial
+	overShare   = 1.5  // times its share: a customer's commands rank low
+	kept        = 64   // samples of an op type at one build
+	keptFlags   = 512  // flags are rare
+	keptUnit    = 16   // and of a unit
 	sweepEvery  = 50 * Second / 1000
-	lateness    = 2.0         // times the earlier build's slow deliveries
 	roomPart    = 0.2         // of a service target: what a unit may owe
-	roomLeast   = 1.0         // delivery in flight that every warm unit may have
+	quiet       = 0.6         // of a service target: how long a unit may stay silent
 	coldPart    = 0.6         // of what the cold rule allows
 	tellEvery   = Second / 2  // between messages to peers
 	rateSpan    = 2 * Second  // over which the relay's own rate is taken
@@ -101,12 +98,12 @@
 		return
 	}
 	cmd.held = true
-	at, _ := slices.BinarySearchFunc(r.held, cmd, func(a, b *Command) int {
-		if a.rank != b.rank {
-			return cmp.Compare(b.rank, a.rank)
-		}
-		return cmp.Compare(a.end, b.end+1)
+	at := slices.IndexFunc(r.held, func(c *Command) bool {
+		return c.rank < cmd.rank || c.rank == cmd.rank && c.end > cmd.end
 	})
+	if at < 0 {
+		at = len(r.held)
+	}
 	r.held = slices.Insert(r.held, at, cmd)
 }
 
@@ -114,13 +111,8 @@
 	rank, _ := r.opTypes[cmd.OpType]["importance"].(float64)
 	r.callers = keep(r.callers, cmd.Customer, 4*kept)
 	if all, _ := r.set["customers"].([]map[string]any); cmd.Customer < len(all) && len(r.callers) == 4*kept {
-		asked := 0
-		for _, c := range r.callers {
-			if c == cmd.Customer {
-				asked++
-			}
-		}
-		if share, _ := all[cmd.Customer]["share"].(float64); float64(asked) > overShare*share*4*kept {
+		others := slices.DeleteFunc(slices.Clone(r.callers), func(c int) bool { return c == cmd.Customer })
+		if share, _ := all[cmd.Customer]["share"].(float64); 1-float64(len(others))/4/kept > overShare*share {
 			rank *= r.num("over_share_importance")
 		}
 	}
@@ -161,11 +153,8 @@
 			trial = append(trial, u)
 		}
 	}
-	pool := earlier
-	if first && l.credit >= 1 && len(trial) > 0 {
-		pool = trial
-	}
-	if len(pool) == 0 { // nothing earlier can take it: the tenth kept back may be used
+	pool := earlier // where nothing earlier can take it, the tenth kept back may be used
+	if len(pool) == 0 || first && l.credit >= 1 && len(trial) > 0 {
 		pool = trial
 	}
 	if len(pool) == 0 {
@@ -221,14 +210,14 @@
 func (r *Relay) doubted(u *Unit) bool { return u.aside || r.silent(u) }
 
 func (r *Relay) silent(u *Unit) bool {
-	return u.inFlight > 0 && float64(r.now-max(u.heard, u.oldest))*r.warmth(u) > float64(r.patience)
+	return u.inFlight > 0 && float64(r.now-max(u.heard, u.oldest))*r.warmth(u) > quiet*float64(r.target)
 }
 
 // room bounds what is in flight at a unit by what it answered of late, so that a
 // slow or overfull unit fills up no further. Guards against slow units, overload
 // and queues that outlast the service target; hurts right after an idle spell.
 func (r *Relay) room(u *Unit) float64 {
-	least := roomLeast * r.warmth(u)
+	least := r.warmth(u) // one in flight, at a warm unit
 	if len(u.acks) < 2 {
 		return least
 	}
@@ -293,8 +282,7 @@
 	return float64(len(l.sent)+1) <= free+share*float64(len(l.taken))-1e-5
 }
 
-// harmless keeps the rule on double effects, for one more delivery at a unit or, with no
-// unit, for a nack, which tells the client that trying again is harmless.
+// harmless keeps the rule on double effects, for one more delivery or, with no unit, a nack.
 func (r *Relay) harmless(cmd *Command, u *Unit) bool {
 	for _, d := range cmd.deliveries {
 		if !d.mayHaveRun() {
@@ -375,7 +363,6 @@
 	u := d.To
 	slow, late := r.now > d.due || d.ending == TimedOut, r.now > d.late
 	failed := d.ending == Errored || d.ending == Reset
-	beside := r.now-r.compared <= Second
 	if u.Start == d.since && d.ending < Cancelled {
 		r.weigh(u, failed || late || d.ending != Acked)
 	}
@@ -386,7 +373,7 @@
 		r.pace(d, slow)
 	}
 	j, x, op := r.judged, 0.0, d.Cmd.OpType
-	if failed && (beside || d.ending == Errored) { // resets of a whole fleet are the network's
+	if d.ending == Errored || d.ending == Reset && r.now-r.compared <= Second { // see docs/design.md
 		x = 1
 	}
 	if d.ending == Acked {
@@ -399,7 +386,7 @@
 		j.sample.add(op, x, kept)
 		j.inStage++
 		r.note(op, x)
-		r.see(0, x, r.share(-1)+margin)
+		r.see(0, x, r.edge(-1))
 		r.see(1+op, x, r.edge(op))
 	}
 }
@@ -594,7 +581,7 @@
 func (r *Relay) rescue(d *Delivery) {
 	cmd := d.Cmd
 	if d.cancelled || cmd.answered || cmd.streaming || !r.flag("limits.may_cancel") || !r.silent(d.To) ||
-		r.now-d.sent < r.patience || r.now >= cmd.end-r.typical[cmd.OpType] ||
+		float64(r.now-d.sent) < quiet*float64(r.target) || r.now >= cmd.end-r.typical[cmd.OpType] ||
 		r.word2(cmd, "repeats") == "at_most_once" || d.No+1 >= int(r.num("limits.max_deliveries")) {
 		return
 	}
@@ -756,11 +743,9 @@
 // WrongAnswer takes a late flag: one more outcome, scored 1.
 func (r *Relay) WrongAnswer(now Tick, u *Unit, opType int, age Tick) {
 	r.now = now
-	if r.judged != nil {
-		r.answer(u.Build, 1)
-		if u.Build == r.judged.build {
-			r.see(0, 1, r.share(-1)+margin)
-		}
+	r.answer(u.Build, 1)
+	if u.Build == r.judged.build {
+		r.see(0, 1, r.edge(-1))
 	}
 	r.consider()
 }
@@ -800,8 +785,8 @@
 // evenly. A relay sees a part of the traffic only; together they see a bad build sooner.
 func (r *Relay) Told(now Tick, from uint32, data []byte) {
 	r.now = now
-	j, ops := r.judged, len(r.opTypes)
-	if j == nil || len(data) != 2+len(r.tell) || uint16(data[0])|uint16(data[1])<<8 != j.build {
+	ops := len(r.opTypes)
+	if r.judged == nil || len(data) != 4+2*ops || uint16(data[0])|uint16(data[1])<<8 != r.judged.build {
 		return
 	}
 	for which := range ops + 1 {
@@ -809,7 +794,7 @@
 		for i := range n {
 			x := float64((i+1)*bad/n - i*bad/n)
 			if which < ops {
-				r.see(0, x, r.share(-1)+margin)
+				r.see(0, x, r.edge(-1))
 			}
 			r.see(1+which, x, r.edge(which))
 		}
@@ -826,19 +811,13 @@
 
 // figure works out, a few times a second, how long deliveries took of late.
 func (r *Relay) figure() {
-	r.patience = 0
 	for op, took := range r.took {
-		r.typical[op] = ticks(r.opTypes[op]["service_target"]) / 4
-		r.middle[op] = r.typical[op]
-		usual := 4 * r.typical[op]
-		if n := len(took); n >= 16 {
-			sorted := slices.Clone(took)
-			slices.Sort(sorted)
-			r.middle[op] = sorted[n/2]
-			r.typical[op] = min(sorted[n*9/10], 3*r.typical[op])
-			usual = Tick(lateness * float64(sorted[n*19/20]))
+		part := ticks(r.opTypes[op]["service_target"]) / 4
+		r.typical[op], r.middle[op] = part, part
+		if n := len(took); n >= keptUnit {
+			sorted := slices.Sorted(slices.Values(took))
+			r.typical[op], r.middle[op] = min(sorted[n*9/10], 3*part), sorted[n/2]
 		}
-		r.patience = max(r.patience, min(usual, r.target*3/5))
 	}
 }
 
--- a/choice/host.go
+++ b/choice/host.go
@@ -160,21 +160,20 @@
 	born     Tick
 	x, carry uint32 // chance
 
-	units    []*Unit    // those listed as ready, in the order of listing
-	held     []*Command // those without a unit, in the order of their end
-	scratch  []*Command
-	common   float64     // the failure share of a unit in the middle of the fleet
-	alone    bool        // nearly every unit is in doubt
-	callers  []int       // the customers of the last commands
-	out      []*Delivery // not ended, oldest first
-	acks     []Tick      // of the last rateSpan
-	perUnit  float64     // acked a second at a warm unit, this relay's part
-	fair     float64     // part of the commands that the units of the build on trial can take
-	took     [][]Tick    // the last acked deliveries of each op type, at any build
-	typical  []Tick      // what one in ten of them exceeds
-	middle   []Tick      // and half of them
-	patience Tick        // how long a unit may stay silent
-	target   Tick        // the least service target
+	units   []*Unit    // those listed as ready, in the order of listing
+	held    []*Command // those without a unit, in the order of their end
+	scratch []*Command
+	common  float64     // the failure share of a unit in the middle of the fleet
+	alone   bool        // nearly every unit is in doubt
+	callers []int       // the customers of the last commands
+	out     []*Delivery // not ended, oldest first
+	acks    []Tick      // of the last rateSpan
+	perUnit float64     // acked a second at a warm unit, this relay's part
+	fair    float64     // part of the commands that the units of the build on trial can take
+	took    [][]Tick    // the last acked deliveries of each op type, at any build
+	typical []Tick      // what one in ten of them exceeds
+	middle  []Tick      // and half of them
+	target  Tick        // the least service target
 
 	tell   []byte // counts for the other relays: of each op type and of answers, all and bad
 	tellAt Tick
