--- a/choice/choice.go
+++ b/choice/choice.go
@@ -83,7 +83,7 @@
 	l := r.lane(cmd.OpType)
 	l.taken = append(l.taken, now)
 	l.credit = min(l.credit+r.fair, max(1, r.num("rollout.exposure_free")))
-	cmd.rank = r.rank(cmd)
+	cmd.rank, _ = r.opTypes[cmd.OpType]["importance"].(float64)
 	r.hold(cmd)
 	r.serve()
 }
@@ -107,18 +107,6 @@
 	r.held = slices.Insert(r.held, at, cmd)
 }
 
-func (r *Relay) rank(cmd *Command) float64 {
-	rank, _ := r.opTypes[cmd.OpType]["importance"].(float64)
-	r.callers = keep(r.callers, cmd.Customer, 4*kept)
-	if all, _ := r.set["customers"].([]map[string]any); cmd.Customer < len(all) && len(r.callers) == 4*kept {
-		others := slices.DeleteFunc(slices.Clone(r.callers), func(c int) bool { return c == cmd.Customer })
-		if share, _ := all[cmd.Customer]["share"].(float64); 1-float64(len(others))/4/kept > overShare*share {
-			rank *= r.num("over_share_importance")
-		}
-	}
-	return rank
-}
-
 // serve routes what is held, the most urgent first, until a few find no unit.
 func (r *Relay) serve() {
 	left, stuck, i := r.scratch[:0], 0, 0
--- a/choice/host.go
+++ b/choice/host.go
@@ -165,7 +165,6 @@
 	scratch []*Command
 	common  float64     // the failure share of a unit in the middle of the fleet
 	alone   bool        // nearly every unit is in doubt
-	callers []int       // the customers of the last commands
 	out     []*Delivery // not ended, oldest first
 	acks    []Tick      // of the last rateSpan
 	perUnit float64     // acked a second at a warm unit, this relay's part
