--- a/choice/choice.go
+++ b/choice/choice.go
@@ -382,8 +382,9 @@
 // pace scores a delivery that has come to its due time (1) or ended before it (0): a
 // delivery that is slow counts as timed out. Its edge is raised: units on trial carry more
 // load by the cap and may be warming, and the earlier build excuses a little more than it
-// showed before the trial. Guards against builds that are slow, turn slow, or slow every
-// unit with the traffic they get; hurts a good build whose trial meets a long overload.
+// showed before the trial.
+// Guards against builds that are slow, turn slow, or slow every unit with the traffic they
+// get; hurts a good build whose trial meets a long overload.
 func (r *Relay) pace(d *Delivery, slow bool) {
 	j, last, x := r.judged, len(r.opTypes)+1, 0.0
 	if slow {
@@ -393,8 +394,7 @@
 	case d.build < j.build:
 		r.base.add(last, x, kept)
 		r.compared = r.now
-	case d.build == j.build && (r.borne || r.news.Phase == Released && r.now-r.since > r.span("rules.cold")):
-		// A fleet that has just been replaced, and is cold, is slow whatever its build.
+	case d.build == j.build:
 		j.sample.add(last, x, kept)
 		r.see(1+last, x, min(r.share(last), j.before+excuse)+burden+margin)
 	}
@@ -523,15 +523,12 @@
 	}
 	r.figure()
 	r.acks = recent(r.acks, now-rateSpan)
-	whole, trial, earlier, doubted, shares := 0.0, 0.0, 0, 0, []float64{0}
+	whole, trial, shares, doubted := 0.0, 0.0, []float64{0}, 0
 	for _, u := range r.units {
 		whole += r.warmth(u)
 		if r.onTrial(u.Build) {
 			trial += r.warmth(u)
 		}
-		if u.Build < r.judged.build {
-			earlier++
-		}
 		if r.doubted(u) {
 			doubted++
 		}
@@ -548,7 +545,6 @@
 		share, _ := r.capOf(r.judged.build)
 		r.fair = capUse * min(r.fair, share)
 	}
-	r.borne = 2*earlier > len(r.units)
 	slices.Sort(shares)
 	r.common = shares[len(shares)/2]
 	// When nearly every unit is in doubt the trouble is this relay's own, such as a stall.
--- a/choice/host.go
+++ b/choice/host.go
@@ -164,7 +164,6 @@
 	held    []*Command // those without a unit, in the order of their end
 	scratch []*Command
 	common  float64     // the failure share of a unit in the middle of the fleet
-	borne   bool        // most units are of an earlier build
 	alone   bool        // nearly every unit is in doubt
 	out     []*Delivery // not ended, oldest first
 	acks    []Tick      // of the last rateSpan
