--- a/choice/choice.go
+++ b/choice/choice.go
@@ -78,8 +78,7 @@
 
 // Command takes a command.
 func (r *Relay) Command(now Tick, cmd *Command) {
-	r.now = now
-	cmd.taken = now
+	r.now, cmd.taken = now, now
 	l := r.lane(cmd.OpType)
 	l.taken = append(l.taken, now)
 	l.credit = min(l.credit+r.fair, max(1, r.num("rollout.exposure_free")))
@@ -234,7 +233,7 @@
 	tip := r.span("rules.tip_after")
 	u.sends = recent(u.sends, r.now-tip-1)
 	budget := coldPart * r.num("rules.fall_multiple") * w * r.perUnit * float64(tip) / float64(Second)
-	return float64(len(u.sends)) < 1+budget
+	return float64(len(u.sends)) < max(1, budget)
 }
 
 // onTrial: the exposure rule counts this build.
@@ -382,9 +381,8 @@
 // pace scores a delivery that has come to its due time (1) or ended before it (0): a
 // delivery that is slow counts as timed out. Its edge is raised: units on trial carry more
 // load by the cap and may be warming, and the earlier build excuses a little more than it
-// showed before the trial.
-// Guards against builds that are slow, turn slow, or slow every unit with the traffic they
-// get; hurts a good build whose trial meets a long overload.
+// showed before the trial. Guards against builds that are slow, turn slow, or slow every
+// unit with the traffic they get; hurts a good build whose trial meets a long overload.
 func (r *Relay) pace(d *Delivery, slow bool) {
 	j, last, x := r.judged, len(r.opTypes)+1, 0.0
 	if slow {
@@ -596,8 +594,7 @@
 		u.acks, u.sends, u.marks, u.doubt, u.aside, u.gap = nil, nil, nil, 1, false, 0
 		u.heard, u.oldest = now, now
 	}
-	u.known = true
-	u.Listing = is
+	u.known, u.Listing = true, is
 	at := slices.Index(r.units, u)
 	switch {
 	case is.State == Ready && at < 0:
@@ -741,8 +738,7 @@
 // Streaming takes the start of a streamed answer: the delivery is the client's now.
 func (r *Relay) Streaming(now Tick, d *Delivery) {
 	r.now = now
-	d.To.heard = now
-	d.Cmd.streaming = true
+	d.To.heard, d.Cmd.streaming = now, true
 	d.due = Tick(math.MaxInt64) // its time-out has stopped running
 }
 
