Keep forward-only keys that a build not yet announced has answered

Now the build that answered is kept with the key, until newer news makes it moot. Test: TestForwardOnlyKeys.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -18,6 +18,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 )
@@ -52,7 +53,7 @@
 
 // New makes the module of one instance, started now with its seed and settings.
 func New(host Host, now Tick, seed uint64, settings map[string]any) *Relay {
-	r := &Relay{host: host, set: settings, now: now, born: now, forward: map[uint64]bool{}}
+	r := &Relay{host: host, set: settings, now: now, born: now, forward: map[uint64]uint16{}}
 	r.x, r.carry = uint32(seed), uint32(seed>>32)%4294957664+1
 	r.opTypes, _ = settings["op_types"].([]map[string]any)
 	r.lanes = make([]lane, 1)
@@ -181,11 +182,13 @@
 	if u.State != Ready || !r.harmless(cmd, u) {
 		return false
 	}
-	n := len(cmd.deliveries)
-	if n > 0 && cmd.deliveries[n-1].To == u || r.forward[cmd.Key] && cmd.Key != 0 &&
-		u.Build < r.news.Build && (r.news.Phase == OnTrial || r.news.Phase == Released) {
+	if n := len(cmd.deliveries); n > 0 && cmd.deliveries[n-1].To == u {
 		return false
 	}
+	if by := r.forward[cmd.Key]; u.Build < by && (by > r.news.Build ||
+		by == r.news.Build && (r.news.Phase == OnTrial || r.news.Phase == Released)) {
+		return false // a forward-only key; its build may not be announced yet
+	}
 	if r.doubted(u) && !r.alone {
 		// A trickle of commands that can be tried again tells whether it has come back.
 		return r.now >= u.nextTry && u.inFlight < 2 && r.word2(cmd, "repeats") != "at_most_once" && r.coldRoom(u)
@@ -326,8 +329,8 @@
 		u.acks = keep(u.acks, now, keptUnit)
 		r.acks = append(r.acks, now)
 		r.took[cmd.OpType] = keep(r.took[cmd.OpType], took, kept)
-		if key := cmd.Key; key != 0 && d.build == r.news.Build && r.flag("rollout.forward_only") {
-			r.forward[key] = true
+		if cmd.Key != 0 && d.build >= r.news.Build && r.flag("rollout.forward_only") {
+			r.forward[cmd.Key] = max(r.forward[cmd.Key], d.build)
 		}
 	}
 	r.score(d)
@@ -616,7 +619,6 @@
 	if j != nil && (!r.told || r.news.Build != j.build || r.news.Phase == Released) {
 		r.base = j.sample // it was kept: now it is the earlier build
 	}
-	clear(r.forward)
 	ops := len(r.opTypes)
 	r.tell = make([]byte, 2*ops+2)
 	r.judged = &trial{build: build, sample: newSample(len(r.opTypes)), streams: make([]stream, ops+3),
@@ -641,6 +643,7 @@
 		if !r.told || old.Build != news.Build || old.Stage != news.Stage || old.Phase != news.Phase {
 			r.since = now - news.Age
 			r.judged.inStage = 0
+			maps.DeleteFunc(r.forward, func(_ uint64, by uint16) bool { return by < news.Build })
 		}
 		if bound, _ := r.capOf(news.Build); r.told && old.Phase != Released && news.Cap < bound {
 			// The lower cap holds at once over the old count; the rule counts anew later.
@@ -753,10 +756,9 @@
 	}
 }
 
-// Tally takes the platform's own count. The design judges by own outcomes alone.
+// The design judges by own outcomes: Tally, the platform's count, is not used, nor are probes.
 func (r *Relay) Tally(now Tick, build uint16, opType, many, failed int, took, age Tick) { r.now = now }
 
-// Probed takes the result of a probe; none is sent so far.
 func (r *Relay) Probed(now Tick, u *Unit, ending Ending, took Tick, load []float64) { r.now = now }
 
 // note counts an outcome at the judged build for the other relays.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -206,11 +206,14 @@
 	b.news(2, 0, OnTrial, 0.2)
 	old := b.unit(1, 1, 0)
 	b.unit(2, 2, 0)
-	b.forward[9] = true
+	b.forward[9] = 2
 	check(t, "to the earlier build", b.mayTake(&Command{Key: 9}, old), false)
 	check(t, "another key", b.mayTake(&Command{Key: 8}, old), true)
+	b.forward[7] = 3 // answered by a build that no news has named yet
+	check(t, "by an unannounced build", b.mayTake(&Command{Key: 7}, old), false)
 	b.news(2, 0, RollingBack, 0)
 	check(t, "when it goes back", b.mayTake(&Command{Key: 9}, old), true)
+	check(t, "when another goes back", b.mayTake(&Command{Key: 7}, old), false)
 }
 
 // outcomes gives the judged build n outcomes of which each k-th fails.
