--- a/choice/choice.go
+++ b/choice/choice.go
@@ -621,18 +621,12 @@
 	}
 	ops := len(r.opTypes)
 	r.tell = make([]byte, 2*ops+2)
-	r.judged = &trial{build: build, sample: newSample(ops),
+	r.judged = &trial{build: build, sample: newSample(len(r.opTypes)), streams: make([]stream, ops+3),
 		before: r.share(ops + 1), middle: slices.Clone(r.middle)}
-	r.judged.restart(ops)
-}
-
-// restart begins the streams of a build anew.
-func (j *trial) restart(ops int) {
-	j.streams = make([]stream, ops+3)
-	for i := range j.streams {
-		j.streams[i].level = alpha
+	for i := range r.judged.streams {
+		r.judged.streams[i].level = alpha
 		if i > 0 && i <= ops {
-			j.streams[i].level = alpha / float64(ops)
+			r.judged.streams[i].level = alpha / float64(ops)
 		}
 	}
 }
@@ -649,9 +643,6 @@
 		if !r.told || old.Build != news.Build || old.Stage != news.Stage || old.Phase != news.Phase {
 			r.since = now - news.Age
 			r.judged.inStage = 0
-			if news.Phase == Released { // what fails late is not to be diluted by the trial
-				r.judged.restart(len(r.opTypes))
-			}
 			maps.DeleteFunc(r.forward, func(_ uint64, by uint16) bool { return by < news.Build })
 		}
 		if bound, _ := r.capOf(news.Build); r.told && old.Phase != Released && news.Cap < bound {
