--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,7 +33,8 @@
 	voteAfter   = 3 * Second
 	drawnOut    = 3    // times the middle time before the trial is slow
 	burden      = 0.22 // of slowness: by the greater load of units on trial
-	excuse      = 0.2  // of slowness: by the fleet's own rise in a trial
+	excuse      = 0.1  // of slowness: by the fleet's own rise in a trial
+	burst       = 1.2  // times what was asked before the trial: slowness is the callers' doing
 	overShare   = 1.5  // times its share: a customer's commands rank low
 	kept        = 64   // samples of an op type at one build
 	keptFlags   = 512  // flags are rare
@@ -82,6 +83,9 @@
 	r.now, cmd.taken = now, now
 	l := r.lane(cmd.OpType)
 	l.taken = append(l.taken, now)
+	if !cmd.Repeated {
+		r.asked = append(r.asked, now)
+	}
 	l.credit = min(l.credit+r.fair, max(1, r.num("rollout.exposure_free")))
 	cmd.rank, _ = r.opTypes[cmd.OpType]["importance"].(float64)
 	r.hold(cmd)
@@ -130,7 +134,6 @@
 // route is the ordinary path of a command: which build, which unit, how long.
 func (r *Relay) route(cmd *Command) bool {
 	l := r.lane(cmd.OpType)
-	first := len(cmd.deliveries) == 0
 	var earlier, trial []*Unit
 	for _, u := range r.units {
 		switch {
@@ -142,7 +145,7 @@
 		}
 	}
 	pool := earlier // where nothing earlier can take it, the tenth kept back may be used
-	if len(pool) == 0 || first && l.credit >= 1 && len(trial) > 0 {
+	if len(pool) == 0 || len(cmd.deliveries) == 0 && l.credit >= 1 && len(trial) > 0 {
 		pool = trial
 	}
 	if len(pool) == 0 {
@@ -211,8 +214,7 @@
 	if len(u.acks) < 2 {
 		return least
 	}
-	rate := float64(len(u.acks)) / float64(max(1, r.now-u.acks[0]))
-	return least + roomPart*rate*float64(r.target)
+	return least + roomPart*float64(r.target)*float64(len(u.acks))/float64(max(1, r.now-u.acks[0]))
 }
 
 // warmth is the part of its capacity that a unit has at the least.
@@ -230,13 +232,10 @@
 // its own warm rate, all together stay under the rule without speaking.
 func (r *Relay) coldRoom(u *Unit) bool {
 	w := r.warmth(u)
-	if w >= 1 {
-		return true
-	}
 	tip := r.span("rules.tip_after")
 	u.sends = recent(u.sends, r.now-tip-1)
 	budget := coldPart * r.num("rules.fall_multiple") * w * r.perUnit * float64(tip) / float64(Second)
-	return float64(len(u.sends)) < max(1, budget)
+	return w >= 1 || float64(len(u.sends)) < max(1, budget)
 }
 
 // onTrial: the exposure rule counts this build.
@@ -385,7 +384,7 @@
 // delivery that is slow counts as timed out. Its edge is raised: units on trial carry more
 // load by the cap and may be warming, and the earlier build excuses a little more than it
 // showed before the trial. Guards against builds that are slow, turn slow, or slow every
-// unit with the traffic they get; hurts a good build whose trial meets a long overload.
+// unit with the traffic they get; a burst of commands speaks for itself.
 func (r *Relay) pace(d *Delivery, slow bool) {
 	j, last, x := r.judged, len(r.opTypes)+1, 0.0
 	if slow {
@@ -397,7 +396,9 @@
 		r.compared = r.now
 	case d.build == j.build:
 		j.sample.add(last, x, kept)
-		r.see(1+last, x, min(r.share(last), j.before+excuse)+burden+margin)
+		if float64(len(r.asked)) <= burst*j.asked+3*math.Sqrt(j.asked) {
+			r.see(1+last, x, min(r.share(last), j.before+excuse)+burden+margin)
+		}
 	}
 }
 
@@ -523,7 +524,7 @@
 		clear(r.tell)
 	}
 	r.figure()
-	r.acks = recent(r.acks, now-rateSpan)
+	r.acks, r.asked = recent(r.acks, now-rateSpan), recent(r.asked, now-rateSpan)
 	whole, trial, shares, doubted := 0.0, 0.0, []float64{0}, 0
 	for _, u := range r.units {
 		whole += r.warmth(u)
@@ -564,9 +565,8 @@
 	r.consider()
 }
 
-// rescue calls off a delivery at a silent unit, so that another unit can serve the
-// command within its target. Guards against dead and hung units and cut links; a unit
-// that still answers is left alone, as trying again would only add to its load.
+// rescue calls off a delivery at a silent unit, to serve the command elsewhere in time. Guards
+// against dead and hung units and cut links; one that still answers is spared the added load.
 func (r *Relay) rescue(d *Delivery) {
 	cmd := d.Cmd
 	if d.cancelled || cmd.answered || cmd.streaming || !r.flag("limits.may_cancel") || !r.silent(d.To) ||
@@ -622,7 +622,7 @@
 	ops := len(r.opTypes)
 	r.tell = make([]byte, 2*ops+2)
 	r.judged = &trial{build: build, sample: newSample(len(r.opTypes)), streams: make([]stream, ops+3),
-		before: r.share(ops + 1), middle: slices.Clone(r.middle)}
+		before: r.share(ops + 1), middle: slices.Clone(r.middle), asked: float64(len(r.asked))}
 	for i := range r.judged.streams {
 		r.judged.streams[i].level = alpha
 		if i > 0 && i <= ops {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -334,6 +334,31 @@
 	}
 }
 
+// A burst of commands slows units of any build; the same slowness without one is the build's.
+func TestSlownessInABurst(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		asked int
+		alarm bool
+	}{{"as many as before", 20, true}, {"a burst", 60, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(nil)
+			b.news(1, 0, Released, 1)
+			for range 20 {
+				b.take(redeliverable)
+			}
+			b.outcomes(1, 100, 0)
+			b.news(2, 0, OnTrial, 0.2)
+			b.asked = make([]Tick, c.asked)
+			for range 100 {
+				d := &Delivery{Cmd: &Command{answered: true}, To: &Unit{}, sent: b.now - 9000, due: b.now - 1, build: 2}
+				b.pace(d, true)
+			}
+			check(t, "alarm", b.judged.alarm != "", c.alarm)
+		})
+	}
+}
+
 func TestRelaysTellEachOther(t *testing.T) {
 	b := newBench(map[string]any{"limits.peers": true})
 	b.news(1, 0, Released, 1)
--- a/choice/host.go
+++ b/choice/host.go
@@ -166,7 +166,8 @@
 	common  float64     // the failure share of a unit in the middle of the fleet
 	alone   bool        // nearly every unit is in doubt
 	out     []*Delivery // not ended, oldest first
-	acks    []Tick      // of the last rateSpan
+	acks    []Tick      // of the last seconds
+	asked   []Tick      // commands taken in them, repeats aside
 	perUnit float64     // acked a second at a warm unit, this relay's part
 	fair    float64     // part of the commands that the units of the build on trial can take
 	took    [][]Tick    // the last acked deliveries of each op type, at any build
@@ -206,6 +207,7 @@
 	sample  *sample
 	streams []stream // all outcomes, one an op type, wrong answers
 	inStage int
+	asked   float64 // commands, repeats aside, in the last seconds when this one came
 	before  float64 // the earlier build's failure share when this one came
 	middle  []Tick  // and the middle time of each op type's deliveries
 	alarm   string
