--- a/choice/choice.go
+++ b/choice/choice.go
@@ -26,6 +26,7 @@
 const (
 	alpha       = 0.01 // false-alarm budget of one stream of outcomes
 	margin      = 0.02 // above the earlier build's failure share
+	firstGuess  = 4    // times the edge: the failure share that a new test bets on
 	capUse      = 0.9  // of the cap, for first deliveries
 	mostTests   = 32   // open at once in one stream
 	leastSample = 20   // outcomes in a stage before a vote to go on
@@ -484,7 +485,7 @@
 	}
 	for i := range s.tests {
 		t := &s.tests[i]
-		mean := (t.bad + 0.5) / (t.seen + 1)
+		mean := (t.bad + min(0.5, firstGuess*b)) / (t.seen + 1)
 		bet := min(max(0, (mean-b)/(b*(1-b))), 1/b)
 		t.wealth *= 1 + bet*(x-b)
 		t.seen++
@@ -661,8 +662,7 @@
 	if !r.told || j == nil || j.build != r.news.Build || r.news.Phase != OnTrial && r.news.Phase != Released {
 		return NoVote
 	}
-	// A fleet much slower than before the trial also holds the vote back: it may be the
-	// build's doing, and is no moment to move machines.
+	// A fleet much slower than before the trial holds the vote too: it may be the build's doing.
 	wary := j.wary() || r.share(len(r.opTypes)+1) > j.before+excuse
 	timed := r.now-r.since >= voteAfter && j.streams[0].n >= leastTimed
 	clocked := r.word("rollout.control") == "clocked"
