--- a/choice/choice.go
+++ b/choice/choice.go
@@ -41,9 +41,9 @@
 	keptFlags   = 512  // flags are rare
 	keptUnit    = 16   // and of a unit
 	sweepEvery  = 50 * Second / 1000
-	roomPart    = 0.15        // of a service target: what a unit may owe
+	roomPart    = 0.15         // of a service target: what a unit may owe
 	quiet       = 0.6         // of a service target: how long a unit may stay silent
-	coldPart    = 0.85        // of what the cold rule allows
+	coldPart    = 0.85         // of what the cold rule allows
 	tellEvery   = Second / 2  // between messages to peers
 	rateSpan    = 2 * Second  // over which the relay's own rate is taken
 	failing     = 0.75        // failure share of a unit that is to be set aside
@@ -207,8 +207,9 @@
 	return u.inFlight > 0 && float64(r.now-max(u.heard, u.oldest))*r.warmth(u) > quiet*float64(r.target)
 }
 
-// room bounds what is in flight at a unit by what it answered of late. Guards against slow
-// units, overload and queues that outlast the target; hurts right after an idle spell.
+// room bounds what is in flight at a unit by what it answered of late, so that a
+// slow or overfull unit fills up no further. Guards against slow units, overload
+// and queues that outlast the service target; hurts right after an idle spell.
 func (r *Relay) room(u *Unit) float64 {
 	least := r.warmth(u) // one in flight, at a warm unit
 	if len(u.acks) < 2 {
@@ -227,8 +228,9 @@
 	return from + (1-from)*float64(max(0, r.now-u.Start))/float64(cold)
 }
 
-// coldRoom keeps this relay's part of the cold budget, in terms of what its own warm units
-// answer. As every relay keeps to its own rate, all together stay under the rule.
+// coldRoom keeps this relay's part of the cold budget: a part of what the rule
+// allows, in terms of what this relay's warm units answer. As every relay keeps to
+// its own warm rate, all together stay under the rule without speaking.
 func (r *Relay) coldRoom(u *Unit) bool {
 	w := r.warmth(u)
 	tip := r.span("rules.tip_after")
@@ -300,7 +302,7 @@
 
 // giveUp answers at once, with the time to come back where clients are told one.
 func (r *Relay) giveUp(cmd *Command) {
-	cmd.answered, r.gaveUp = true, append(r.gaveUp, r.now)
+	cmd.answered = true
 	if !r.harmless(cmd, nil) {
 		r.host.Fail(cmd)
 		return
@@ -524,8 +526,6 @@
 	}
 	r.figure()
 	r.acks, r.asked = recent(r.acks, now-rateSpan), recent(r.asked, now-rateSpan)
-	r.gaveUp = recent(r.gaveUp, now-rateSpan)
-	r.refused = float64(len(r.gaveUp)) / float64(max(1, len(r.asked)))
 	whole, trial, shares, doubted := 0.0, 0.0, []float64{0}, 0
 	for _, u := range r.units {
 		whole += r.warmth(u)
@@ -623,7 +623,7 @@
 	ops := len(r.opTypes)
 	r.tell = make([]byte, 2*ops+2)
 	r.judged = &trial{build: build, sample: newSample(len(r.opTypes)), streams: make([]stream, ops+3),
-		before: r.share(ops + 1), middle: slices.Clone(r.middle), asked: float64(len(r.asked)), refused: r.refused}
+		before: r.share(ops + 1), middle: slices.Clone(r.middle), asked: float64(len(r.asked))}
 	for i := range r.judged.streams {
 		r.judged.streams[i].level = alpha
 		if i > 0 && i <= ops {
@@ -662,8 +662,8 @@
 	if !r.told || j == nil || j.build != r.news.Build || r.news.Phase != OnTrial && r.news.Phase != Released {
 		return NoVote
 	}
-	// A fleet that is much slower, or refuses more, than before the trial holds the vote too.
-	wary := j.wary() || r.share(len(r.opTypes)+1) > j.before+excuse || r.refused > j.refused+excuse
+	// A fleet much slower than before the trial holds the vote too: it may be the build's doing.
+	wary := j.wary() || r.share(len(r.opTypes)+1) > j.before+excuse
 	timed := r.now-r.since >= voteAfter && j.streams[0].n >= leastTimed
 	clocked := r.word("rollout.control") == "clocked"
 	switch {
--- a/choice/host.go
+++ b/choice/host.go
@@ -168,8 +168,6 @@
 	out     []*Delivery // not ended, oldest first
 	acks    []Tick      // of the last seconds
 	asked   []Tick      // commands taken in them, repeats aside
-	gaveUp  []Tick      // final answers in them that were no ack
-	refused float64     // their share
 	perUnit float64     // acked a second at a warm unit, this relay's part
 	fair    float64     // part of the commands that the units of the build on trial can take
 	took    [][]Tick    // the last acked deliveries of each op type, at any build
@@ -210,7 +208,6 @@
 	streams []stream // all outcomes, one an op type, wrong answers
 	inStage int
 	asked   float64 // commands, repeats aside, in the last seconds when this one came
-	refused float64 // the share given up when this one came
 	before  float64 // the earlier build's failure share when this one came
 	middle  []Tick  // and the middle time of each op type's deliveries
 	alarm   string
