--- a/choice/choice.go
+++ b/choice/choice.go
@@ -41,9 +41,9 @@
 	keptFlags   = 512  // flags are rare
 	keptUnit    = 16   // and of a unit
 	sweepEvery  = 50 * Second / 1000
-	roomPart    = 0.15         // of a service target: what a unit may owe
+	roomPart    = 0.15        // of a service target: what a unit may owe
 	quiet       = 0.6         // of a service target: how long a unit may stay silent
-	coldPart    = 0.85         // of what the cold rule allows
+	coldPart    = 0.85        // of what the cold rule allows
 	tellEvery   = Second / 2  // between messages to peers
 	rateSpan    = 2 * Second  // over which the relay's own rate is taken
 	failing     = 0.75        // failure share of a unit that is to be set aside
