--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -386,3 +386,42 @@
 		}
 	}
 }
+
+func TestNoEffectHappensTwice(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		op          int
+		group       string
+		ending      Ending
+		age         Tick
+		zone, cell  int // of the second unit; the first has 1 and 1
+		again, nack bool
+	}{
+		{"redeliverable, timed out", redeliverable, "", TimedOut, 0, 2, 2, true, true},
+		{"at most once, full", atMostOnce, "", Full, 0, 2, 2, true, true},
+		{"at most once, connect failed", atMostOnce, "", ConnectFailed, 0, 2, 2, true, true},
+		{"at most once, never sent", atMostOnce, "", Moot, 0, 2, 2, true, true},
+		{"at most once, timed out", atMostOnce, "", TimedOut, 0, 1, 1, false, false},
+		{"at most once, called off", atMostOnce, "", Cancelled, 0, 1, 1, false, false},
+		{"deduplicated by all, within the window", deduplicated, "all", Reset, Second - 2, 2, 2, true, true},
+		{"deduplicated by all, at its end", deduplicated, "all", Reset, Second - 1, 2, 2, false, true},
+		{"deduplicated by zone, same zone", deduplicated, "zone", Reset, 0, 1, 2, true, false},
+		{"deduplicated by zone, another", deduplicated, "zone", Reset, 0, 2, 1, false, false},
+		{"deduplicated by cell, same cell", deduplicated, "cell", Reset, 0, 2, 1, true, false},
+		{"deduplicated by cell, another", deduplicated, "cell", Reset, 0, 1, 2, false, false},
+		{"deduplicated by zone, full", deduplicated, "zone", Full, 0, 2, 2, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(nil)
+			b.opTypes[c.op]["repeat_group"] = c.group
+			b.Relay.now = start + c.age
+			first := &Unit{Listing: Listing{Zone: 1, Cell: 1}}
+			cmd := &Command{OpType: c.op}
+			cmd.deliveries = []*Delivery{{Cmd: cmd, To: first, sent: start, ended: true, ending: c.ending}}
+			check(t, "again", b.harmless(cmd, &Unit{Listing: Listing{Zone: c.zone, Cell: c.cell}}), c.again)
+			check(t, "nack", b.harmless(cmd, nil), c.nack)
+			cmd.deliveries[0].ended = false
+			check(t, "while one is out", b.harmless(cmd, first), false)
+		})
+	}
+}
