Keep the cold budget as one for all relays; choose from the nearest few of an own order

Each relay also keeps an own order of units and chooses from the first few that have room; a late or unanswered delivery puts its unit last. Guards also against servers short of connections and against thin samples of each unit. May harm in an overload of all units, where lateness only churns the order.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -44,6 +44,10 @@
 	roomPart    = 0.15        // of a service target: what a unit may owe
 	quiet       = 0.6         // of a service target: how long a unit may stay silent
 	coldPart    = 0.85        // of what the cold rule allows
+	coldSpread  = 3           // deviations of chance left free in it
+	nearLeast   = 8           // units that a relay chooses from
+	nearMore    = 1           // and more for each command that comes in a service target
+	keptPace    = 4           // samples of a unit's pace
 	tellEvery   = Second / 2  // between messages to peers
 	rateSpan    = 2 * Second  // over which the relay's own rate is taken
 	failing     = 0.75        // failure share of a unit that is to be set aside
@@ -65,7 +69,7 @@
 	r.base = newSample(len(r.opTypes))
 	r.took, r.typical = make([][]Tick, len(r.opTypes)), make([]Tick, len(r.opTypes))
 	r.middle = make([]Tick, len(r.opTypes))
-	r.target = Tick(math.MaxInt64)
+	r.target, r.near = Tick(math.MaxInt64), nearLeast
 	for _, t := range r.opTypes {
 		r.target = min(r.target, ticks(t["service_target"]))
 	}
@@ -135,9 +139,10 @@
 // route is the ordinary path of a command: which build, which unit, how long.
 func (r *Relay) route(cmd *Command) bool {
 	l := r.lane(cmd.OpType)
-	var earlier, trial []*Unit
+	var earlier, trial []*Unit // the nearest that may take it
 	for _, u := range r.units {
 		switch {
+		case len(earlier) >= r.near && len(trial) >= r.near:
 		case !r.mayTake(cmd, u):
 		case !r.onTrial(u.Build):
 			earlier = append(earlier, u)
@@ -145,6 +150,7 @@
 			trial = append(trial, u)
 		}
 	}
+	earlier, trial = earlier[:min(len(earlier), r.near)], trial[:min(len(trial), r.near)]
 	pool := earlier // where nothing earlier can take it, the tenth kept back may be used
 	if len(pool) == 0 || len(cmd.deliveries) == 0 && l.credit >= 1 && len(trial) > 0 {
 		pool = trial
@@ -153,7 +159,8 @@
 		return false
 	}
 	u := pool[r.chance(len(pool))]
-	if other := pool[r.chance(len(pool))]; other.inFlight < u.inFlight {
+	if other := pool[r.chance(len(pool))]; other.inFlight < u.inFlight ||
+		other.inFlight == u.inFlight && mean(other.paces) < mean(u.paces) {
 		u = other
 	}
 
@@ -166,7 +173,7 @@
 		l.credit = max(0, l.credit-1)
 	}
 	if r.warmth(u) < 1 {
-		u.sends = append(u.sends, r.now)
+		u.sends, u.coldFrom, u.coldDue = append(u.sends, r.now), r.now, 1
 	}
 	if u.inFlight == 0 {
 		u.oldest = r.now
@@ -230,13 +237,23 @@
 
 // coldRoom keeps this relay's part of the cold budget: a part of what the rule
 // allows, in terms of what this relay's warm units answer. As every relay keeps to
-// its own warm rate, all together stay under the rule without speaking.
+// its own warm rate, all together stay under the rule without speaking. A part of less
+// than one delivery a window comes due from a moment drawn at the start, and as chance
+// then piles up the relays' deliveries, they leave room for three deviations.
 func (r *Relay) coldRoom(u *Unit) bool {
-	w := r.warmth(u)
-	tip := r.span("rules.tip_after")
+	w, tip := r.warmth(u), r.span("rules.tip_after")
+	if w >= 1 {
+		return true
+	}
 	u.sends = recent(u.sends, r.now-tip-1)
+	relays := max(1, r.num("relays"))
 	budget := coldPart * r.num("rules.fall_multiple") * w * r.perUnit * float64(tip) / float64(Second)
-	return w >= 1 || float64(len(u.sends)) < max(1, budget)
+	spread := coldSpread * math.Sqrt(max(0, 1-budget)) / 2
+	budget = math.Pow(math.Sqrt(spread*spread+budget*relays)-spread, 2) / relays
+	if budget >= 1 {
+		return float64(len(u.sends)) < budget
+	}
+	return float64(r.now-u.coldFrom)*budget >= float64(tip)*u.coldDue
 }
 
 // onTrial: the exposure rule counts this build.
@@ -355,6 +372,10 @@
 	failed := d.ending == Errored || d.ending == Reset
 	if u.Start == d.since && d.ending < Cancelled {
 		r.weigh(u, failed || late || d.ending != Acked)
+		u.paces = keep(u.paces, float64(r.now-d.sent)/float64(d.late-d.sent), keptPace)
+		if late || d.ending > Errored {
+			r.demote(u)
+		}
 	}
 	if !failed && d.ending != Acked && d.ending != TimedOut || r.spares(d, failed || slow) {
 		return // it was never looked at, or called off, or speaks for its unit alone
@@ -412,6 +433,16 @@
 	})
 }
 
+// demote puts a unit at the end of this relay's own order, so that the next one comes near
+// in its place. Guards, for relays that see few outcomes of each unit, against units that are
+// bad, silent or out of connections for this relay.
+func (r *Relay) demote(u *Unit) {
+	if at := slices.Index(r.units, u); at >= 0 {
+		copy(r.units[at:], r.units[at+1:])
+		r.units[len(r.units)-1] = u
+	}
+}
+
 // edge is what an outcome of one op type is held against, or a flag.
 func (r *Relay) edge(which int) float64 {
 	if which == len(r.opTypes) {
@@ -540,6 +571,7 @@
 		}
 	}
 	r.perUnit = float64(len(r.acks)) * float64(Second) / float64(rateSpan) / max(whole, 1)
+	r.near = nearLeast + int(nearMore*float64(len(r.asked))*float64(r.target)/float64(rateSpan))
 	// A cap is told before its machines have come and warmed. Until then trial sends keep to
 	// the machines' part of the fleet, with the slack that the first stage's cap gives over
 	// its share; once they run warm the cap alone binds. Guards against drowning the few.
@@ -577,6 +609,7 @@
 	}
 	d.cancelled = true
 	r.weigh(d.To, true)
+	r.demote(d.To)
 	r.host.Cancel(d)
 }
 
@@ -595,14 +628,17 @@
 func (r *Relay) UnitListed(now Tick, u *Unit, is Listing) {
 	r.now = now
 	if u.known && (is.Start != u.Start || is.Build != u.Build) { // another process: nothing known holds
-		u.acks, u.sends, u.marks, u.doubt, u.aside, u.gap = nil, nil, nil, 1, false, 0
+		u.acks, u.sends, u.marks, u.paces, u.doubt, u.aside, u.gap = nil, nil, nil, nil, 1, false, 0
 		u.heard, u.oldest = now, now
 	}
+	if !u.known || is.Start != u.Start {
+		u.coldFrom, u.coldDue = now, float64(r.chance(1000))/1000
+	}
 	u.known, u.Listing = true, is
 	at := slices.Index(r.units, u)
 	switch {
 	case is.State == Ready && at < 0:
-		r.units = append(r.units, u)
+		r.units = slices.Insert(r.units, r.chance(len(r.units)+1), u)
 	case is.State != Ready && at >= 0:
 		r.units = slices.Delete(r.units, at, at+1)
 	}
--- a/choice/host.go
+++ b/choice/host.go
@@ -133,7 +133,10 @@
 	heard    Tick      // the last answer
 	acks     []Tick    // times of the last acked deliveries
 	sends    []Tick    // sends within the cold window
+	coldFrom Tick      // the last of them, or when this process was first listed
+	coldDue  float64   // part of a budget's delivery that must come due since
 	marks    []float64 // the last outcomes, 1 for a failure
+	paces    []float64 // how long the last ones took, in parts of what was due
 	doubt    float64
 	aside    bool
 	gap      Tick // between the deliveries of the trickle
@@ -160,7 +163,8 @@
 	born     Tick
 	x, carry uint32 // chance
 
-	units   []*Unit    // those listed as ready, in the order of listing
+	units   []*Unit    // those listed as ready, in this relay's own order, the nearest first
+	near    int        // how many of them it chooses from
 	held    []*Command // those without a unit, in the order of their end
 	scratch []*Command
 	common  float64     // the failure share of a unit in the middle of the fleet
