--- a/choice/choice.go
+++ b/choice/choice.go
@@ -39,6 +39,7 @@
 	overShare   = 1.5  // times its share: a customer's commands rank low
 	kept        = 64   // samples of an op type at one build
 	keptFlags   = 512  // flags are rare
+	keptTallies = 4    // of an op type
 	keptUnit    = 16   // and of a unit
 	sweepEvery  = 50 * Second / 1000
 	roomPart    = 0.15        // of a service target: what a unit may owe
@@ -429,7 +430,7 @@
 // hurts when a bad build shows at some of its units only.
 func (r *Relay) spares(d *Delivery, bad bool) bool {
 	return (d.To.aside || bad && d.To.heard < d.sent) && slices.ContainsFunc(r.units, func(o *Unit) bool {
-		return o != d.To && o.Build == d.build && !o.aside && o.heard >= d.sent
+		return o != d.To && o.Build == d.build && !o.aside && len(o.acks) > 0
 	})
 }
 
@@ -495,11 +496,15 @@
 func (r *Relay) see(which int, x, b float64) {
 	j, ops := r.judged, len(r.opTypes)
 	s := &j.streams[which]
-	if n, wealth, ok := s.see(x, min(b, 0.9)); ok && j.alarm == "" {
+	failed, _ := j.sample.count(-1)
+	if n, wealth, ok := s.see(x, min(b, 0.9)); ok && j.alarm == "" && (which <= ops+2 || failed > 0) {
 		name := fmt.Sprint("op type ", which-1)
 		if which == 0 || which > ops {
 			name = map[int]string{0: "all commands", ops + 1: "wrong answers", ops + 2: "slowness"}[which]
 		}
+		if which > ops+2 {
+			name = fmt.Sprint("the tally of op type ", which-ops-3)
+		}
 		j.alarm = fmt.Sprintf("%s: test %d of %d, wealth %.3g against a share of %.3f", name, n, s.n, wealth, b)
 		r.host.Log(fmt.Sprintf("build %d alarm on %s", j.build, j.alarm))
 	}
@@ -658,11 +663,11 @@
 	}
 	ops := len(r.opTypes)
 	r.tell = make([]byte, 2*ops+2)
-	r.judged = &trial{build: build, sample: newSample(len(r.opTypes)), streams: make([]stream, ops+3),
-		before: r.share(ops + 1), middle: slices.Clone(r.middle), asked: float64(len(r.asked))}
+	r.judged = &trial{build: build, sample: newSample(len(r.opTypes)), streams: make([]stream, 2*ops+3),
+		tallied: make([][][2]int, ops), before: r.share(ops + 1), middle: slices.Clone(r.middle), asked: float64(len(r.asked))}
 	for i := range r.judged.streams {
 		r.judged.streams[i].level = alpha
-		if i > 0 && i <= ops {
+		if i > 0 && i <= ops || i > ops+2 {
 			r.judged.streams[i].level = alpha / float64(ops)
 		}
 	}
@@ -700,7 +705,7 @@
 	}
 	// A fleet much slower than before the trial holds the vote too: it may be the build's doing.
 	wary := j.wary() || r.share(len(r.opTypes)+1) > j.before+excuse
-	timed := r.now-r.since >= voteAfter && j.streams[0].n >= leastTimed
+	timed := r.now-r.since >= voteAfter && j.streams[0].n+j.seen >= leastTimed
 	clocked := r.word("rollout.control") == "clocked"
 	switch {
 	case j.alarm != "":
@@ -792,9 +797,35 @@
 	}
 }
 
-// The design judges by own outcomes: Tally, the platform's count, is not used, nor are probes.
-func (r *Relay) Tally(now Tick, build uint16, opType, many, failed int, took, age Tick) { r.now = now }
+// Tally takes the platform's count of one op type at one build, the same at every relay. A
+// count of the judged build goes to a stream of its own, held against the same count of the
+// earlier build, as it holds all endings. Guards against waiting for outcomes of its own at a
+// relay that sees few.
+func (r *Relay) Tally(now Tick, build uint16, opType, many, failed int, took, age Tick) {
+	r.now = now
+	j := r.judged
+	if j == nil || build > j.build {
+		return
+	}
+	if build < j.build {
+		j.tallied[opType] = keep(j.tallied[opType], [2]int{many, failed}, keptTallies)
+		return
+	}
+	bad, n := 0.5, 1.0
+	for _, t := range j.tallied[opType] {
+		n, bad = n+float64(t[0]), bad+float64(t[1])
+	}
+	if now-age > r.since {
+		j.inStage += many
+	}
+	j.seen += many
+	for i := range many {
+		r.see(len(r.opTypes)+3+opType, float64((i+1)*failed/many-i*failed/many), min(0.9, 2*bad/n+excuse/2+margin))
+	}
+	r.consider()
+}
 
+// Probed takes the end of a probe; the module sends none.
 func (r *Relay) Probed(now Tick, u *Unit, ending Ending, took Tick, load []float64) { r.now = now }
 
 // note counts an outcome at the judged build for the other relays.
@@ -812,6 +843,9 @@
 		return
 	}
 	for which := range ops + 1 {
+		if which < ops {
+			r.judged.inStage += int(data[2+2*which])
+		}
 		n, bad := int(data[2+2*which]), int(data[3+2*which])
 		for i := range n {
 			x := float64((i+1)*bad/n - i*bad/n)
--- a/choice/host.go
+++ b/choice/host.go
@@ -211,9 +211,11 @@
 	sample  *sample
 	streams []stream // all outcomes, one an op type, wrong answers
 	inStage int
-	asked   float64 // commands, repeats aside, in the last seconds when this one came
-	before  float64 // the earlier build's failure share when this one came
-	middle  []Tick  // and the middle time of each op type's deliveries
+	seen    int        // outcomes that tallies counted
+	tallied [][][2]int // the last tallies of the earlier build by op type: all and failed
+	asked   float64    // commands, repeats aside, in the last seconds when this one came
+	before  float64    // the earlier build's failure share when this one came
+	middle  []Tick     // and the middle time of each op type's deliveries
 	alarm   string
 }
 
