--- a/choice/choice.go
+++ b/choice/choice.go
@@ -419,7 +419,7 @@
 		r.compared = r.now
 	case d.build == j.build:
 		j.sample.add(last, x, kept)
-		if float64(len(r.asked)) <= burst*j.asked+3*math.Sqrt(j.asked) {
+		if float64(len(r.asked)) <= r.whole*(burst*j.asked+3*math.Sqrt(j.asked))/j.whole {
 			r.see(1+last, x, min(r.share(last), j.before+excuse)+burden+margin)
 		}
 	}
@@ -429,7 +429,7 @@
 // speaks for itself and not for the build. Guards against dead, silent and broken units;
 // hurts when a bad build shows at some of its units only.
 func (r *Relay) spares(d *Delivery, bad bool) bool {
-	return (d.To.aside || bad && d.To.heard < d.sent) && slices.ContainsFunc(r.units, func(o *Unit) bool {
+	return bad && d.To.heard < d.sent || d.To.aside && slices.ContainsFunc(r.units, func(o *Unit) bool {
 		return o != d.To && o.Build == d.build && !o.aside && len(o.acks) > 0
 	})
 }
@@ -497,7 +497,7 @@
 	j, ops := r.judged, len(r.opTypes)
 	s := &j.streams[which]
 	failed, _ := j.sample.count(-1)
-	if n, wealth, ok := s.see(x, min(b, 0.9)); ok && j.alarm == "" && (which <= ops+2 || failed > 0) {
+	if n, wealth, ok := s.see(x, min(b, 0.9)); ok && j.alarm == "" && (which <= ops+2 || failed >= 2) {
 		name := fmt.Sprint("op type ", which-1)
 		if which == 0 || which > ops {
 			name = map[int]string{0: "all commands", ops + 1: "wrong answers", ops + 2: "slowness"}[which]
@@ -563,6 +563,7 @@
 	r.figure()
 	r.acks, r.asked = recent(r.acks, now-rateSpan), recent(r.asked, now-rateSpan)
 	whole, trial, shares, doubted := 0.0, 0.0, []float64{0}, 0
+	r.whole = 0
 	for _, u := range r.units {
 		whole += r.warmth(u)
 		if r.onTrial(u.Build) {
@@ -570,6 +571,8 @@
 		}
 		if r.doubted(u) {
 			doubted++
+		} else {
+			r.whole += r.warmth(u)
 		}
 		if len(u.marks) > 0 {
 			shares = append(shares, mean(u.marks))
@@ -664,7 +667,7 @@
 	ops := len(r.opTypes)
 	r.tell = make([]byte, 2*ops+2)
 	r.judged = &trial{build: build, sample: newSample(len(r.opTypes)), streams: make([]stream, 2*ops+3),
-		tallied: make([][][2]int, ops), before: r.share(ops + 1), middle: slices.Clone(r.middle), asked: float64(len(r.asked))}
+		tallied: make([][][2]int, ops), before: r.share(ops + 1), middle: slices.Clone(r.middle), asked: float64(len(r.asked)), whole: max(1, r.whole)}
 	for i := range r.judged.streams {
 		r.judged.streams[i].level = alpha
 		if i > 0 && i <= ops || i > ops+2 {
@@ -820,7 +823,7 @@
 	}
 	j.seen += many
 	for i := range many {
-		r.see(len(r.opTypes)+3+opType, float64((i+1)*failed/many-i*failed/many), min(0.9, 2*bad/n+excuse/2+margin))
+		r.see(len(r.opTypes)+3+opType, float64((i+1)*failed/many-i*failed/many), firstGuess*bad/n+excuse/2+margin)
 	}
 	r.consider()
 }
--- a/choice/host.go
+++ b/choice/host.go
@@ -172,6 +172,7 @@
 	out     []*Delivery // not ended, oldest first
 	acks    []Tick      // of the last seconds
 	asked   []Tick      // commands taken in them, repeats aside
+	whole   float64     // units in use, by warmth
 	perUnit float64     // acked a second at a warm unit, this relay's part
 	fair    float64     // part of the commands that the units of the build on trial can take
 	took    [][]Tick    // the last acked deliveries of each op type, at any build
@@ -213,6 +214,7 @@
 	inStage int
 	seen    int        // outcomes that tallies counted
 	tallied [][][2]int // the last tallies of the earlier build by op type: all and failed
+	whole   float64    // units in use then, by warmth
 	asked   float64    // commands, repeats aside, in the last seconds when this one came
 	before  float64    // the earlier build's failure share when this one came
 	middle  []Tick     // and the middle time of each op type's deliveries
