--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,6 +37,7 @@
 	excuse      = 0.1  // of slowness: by the fleet's own rise in a trial
 	burst       = 1.2  // times what was asked before the trial: slowness is the callers' doing
 	overShare   = 1.5  // times its share: a customer's commands rank low
+	fewSay      = 4    // relays that log what many see
 	kept        = 64   // samples of an op type at one build
 	keptFlags   = 512  // flags are rare
 	keptTallies = 4    // of an op type
@@ -49,6 +50,10 @@
 	nearLeast   = 8           // units that a relay chooses from
 	nearMore    = 1           // and more for each command that comes in a service target
 	keptPace    = 4           // samples of a unit's pace
+	tardy       = 0.6         // of what was due: an answer later than this says that units are overloaded
+	limitFirst  = 4           // open deliveries of a relay, at its start
+	limitLess   = 0.1         // part by which such an answer lowers them
+	limitMore   = 0.03        // and an earlier one raises them
 	tellEvery   = Second / 2  // between messages to peers
 	rateSpan    = 2 * Second  // over which the relay's own rate is taken
 	failing     = 0.75        // failure share of a unit that is to be set aside
@@ -80,13 +85,15 @@
 		r.asking, r.askGap = true, Second
 		r.askAgain = now + r.span("rules.ask_every")/2
 	}
-	r.host.WakeAt(now+sweepEvery, 0)
+	r.wake, r.limit = now+sweepEvery, limitFirst
+	r.host.WakeAt(r.wake, 0)
 	return r
 }
 
 // Command takes a command.
 func (r *Relay) Command(now Tick, cmd *Command) {
-	r.now, cmd.taken = now, now
+	r.at(now)
+	cmd.taken = now
 	l := r.lane(cmd.OpType)
 	l.taken = append(l.taken, now)
 	if !cmd.Repeated {
@@ -98,6 +105,14 @@
 	r.serve()
 }
 
+// at takes the time. Where the timer is overdue the relay itself stood still, and how long
+// deliveries took that were out meanwhile says nothing of units or builds.
+func (r *Relay) at(now Tick) {
+	if r.now = now; now > r.wake+sweepEvery {
+		r.stall = now
+	}
+}
+
 // hold keeps a command by importance, then by the time when it loses its use. What a
 // customer asks beyond its share is of little importance. Guards the worth served in
 // overload and in one customer's burst; the least important op types pay for it.
@@ -139,6 +154,9 @@
 
 // route is the ordinary path of a command: which build, which unit, how long.
 func (r *Relay) route(cmd *Command) bool {
+	if r.open() >= r.limit {
+		return false
+	}
 	l := r.lane(cmd.OpType)
 	var earlier, trial []*Unit // the nearest that may take it
 	for _, u := range r.units {
@@ -151,7 +169,7 @@
 			trial = append(trial, u)
 		}
 	}
-	earlier, trial = earlier[:min(len(earlier), r.near)], trial[:min(len(trial), r.near)]
+	earlier, trial = earlier[:min(len(earlier), r.near)], trial[:min(len(trial), 2+int(r.fair*float64(r.near)))]
 	pool := earlier // where nothing earlier can take it, the tenth kept back may be used
 	if len(pool) == 0 || len(cmd.deliveries) == 0 && l.credit >= 1 && len(trial) > 0 {
 		pool = trial
@@ -169,6 +187,7 @@
 	target := r.opSpan(cmd, "service_target")
 	d.late = r.now + Tick(float64(target)/r.warmth(u))
 	d.due = r.now + Tick(float64(min(target, drawnOut*r.judged.middle[cmd.OpType]))/r.warmth(u))
+	d.first = len(u.acks) == 0 || r.now-u.acks[len(u.acks)-1] > r.span("limits.idle_close")
 	if r.onTrial(u.Build) {
 		l.sent = append(l.sent, r.now)
 		l.credit = max(0, l.credit-1)
@@ -189,6 +208,17 @@
 	return true
 }
 
+// open counts the deliveries that are out at units that still answer.
+func (r *Relay) open() float64 {
+	n := 0.0
+	for _, d := range r.out {
+		if !d.cancelled && !r.silent(d.To) {
+			n++
+		}
+	}
+	return n
+}
+
 // mayTake says whether a unit may get this command now, trial or not.
 func (r *Relay) mayTake(cmd *Command, u *Unit) bool {
 	if u.State != Ready || !r.harmless(cmd, u) {
@@ -335,7 +365,7 @@
 
 // Outcome takes the end of a delivery.
 func (r *Relay) Outcome(now Tick, d *Delivery, ending Ending, took Tick, settled bool, load []float64) {
-	r.now = now
+	r.at(now)
 	cmd, u := d.Cmd, d.To
 	d.ended, d.ending = true, ending
 	u.inFlight--
@@ -371,6 +401,15 @@
 	u := d.To
 	slow, late := r.now > d.due || d.ending == TimedOut, r.now > d.late
 	failed := d.ending == Errored || d.ending == Reset
+	switch stalled := d.sent < r.stall; {
+	case stalled:
+		slow, late = false, false
+	case u.heard < d.sent: // no sign of life: its unit's doing
+	case d.ending == Full || d.ending <= TimedOut && float64(r.now-d.sent) > tardy*float64(d.late-d.sent):
+		r.limit = max(1, r.limit*(1-limitLess))
+	case d.ending == Acked && r.open() >= r.limit/2:
+		r.limit *= 1 + limitMore
+	}
 	if u.Start == d.since && d.ending < Cancelled {
 		r.weigh(u, failed || late || d.ending != Acked)
 		u.paces = keep(u.paces, float64(r.now-d.sent)/float64(d.late-d.sent), keptPace)
@@ -381,7 +420,7 @@
 	if !failed && d.ending != Acked && d.ending != TimedOut || r.spares(d, failed || slow) {
 		return // it was never looked at, or called off, or speaks for its unit alone
 	}
-	if !d.slow {
+	if !d.slow && !(slow && d.first) {
 		r.pace(d, slow)
 	}
 	j, x, op := r.judged, 0.0, d.Cmd.OpType
@@ -419,8 +458,8 @@
 		r.compared = r.now
 	case d.build == j.build:
 		j.sample.add(last, x, kept)
-		if float64(len(r.asked)) <= r.whole*(burst*j.asked+3*math.Sqrt(j.asked))/j.whole {
-			r.see(1+last, x, min(r.share(last), j.before+excuse)+burden+margin)
+		if float64(len(r.asked)) <= max(1, r.whole)*(burst*j.asked+3*math.Sqrt(j.asked))/j.whole {
+			r.see(1+last, x, r.share(last)+burden+margin)
 		}
 	}
 }
@@ -485,10 +524,17 @@
 	case !u.aside && u.doubt >= doubtAside:
 		u.aside = true
 		u.nextTry = r.now + u.gap
-		r.host.Log(fmt.Sprintf("unit %d set aside after failures", u.Door))
+		r.say(fmt.Sprintf("unit %d set aside after failures", u.Door))
 	case u.aside && !bad && u.gap < gapDone:
 		u.aside, u.doubt = false, 1
-		r.host.Log(fmt.Sprintf("unit %d back in use", u.Door))
+		r.say(fmt.Sprintf("unit %d back in use", u.Door))
+	}
+}
+
+// say logs at a few of the relays what many of them see alike.
+func (r *Relay) say(text string) {
+	if r.chance(int(max(1, r.num("relays")))) < fewSay {
+		r.host.Log(text)
 	}
 }
 
@@ -547,10 +593,11 @@
 
 // Alarm takes the one timer: it scores what is overdue and works out the figures.
 func (r *Relay) Alarm(now Tick, tag uint32) {
-	r.now = now
-	r.host.WakeAt(now+sweepEvery, tag)
+	r.at(now)
+	r.wake = now + sweepEvery
+	r.host.WakeAt(r.wake, tag)
 	for _, d := range r.out {
-		if now > d.due && !d.slow && !r.spares(d, true) {
+		if now > d.due && !d.slow && d.sent >= r.stall && !d.first && !r.spares(d, true) {
 			r.pace(d, true)
 		}
 		r.rescue(d)
@@ -672,6 +719,8 @@
 		r.judged.streams[i].level = alpha
 		if i > 0 && i <= ops || i > ops+2 {
 			r.judged.streams[i].level = alpha / float64(ops)
+		} else if i == ops+2 { // of what can mislead a relay, one misled relay decides
+			r.judged.streams[i].level = alpha / max(1, r.num("relays"))
 		}
 	}
 }
@@ -749,11 +798,11 @@
 	switch v.state {
 	case drawn:
 		v.state, v.at = cast, r.now+r.span("rollout.vote_wait")+Second
-		why := fmt.Sprintf("%d outcomes, none against it", r.judged.inStage)
+		why, log := fmt.Sprintf("%d outcomes, none against it", r.judged.inStage), r.say
 		if want != GoOn {
-			why = r.judged.alarm
+			why, log = r.judged.alarm, r.host.Log
 		}
-		r.host.Log(fmt.Sprintf("vote %d on build %d stage %d: %s", want, v.build, v.stage, why))
+		log(fmt.Sprintf("vote %d on build %d stage %d: %s", want, v.build, v.stage, why))
 		r.host.Vote(v.build, v.stage, want)
 	default: // no answer came, or it no longer stands: say it again
 		v.state = noBallot
@@ -818,6 +867,9 @@
 	for _, t := range j.tallied[opType] {
 		n, bad = n+float64(t[0]), bad+float64(t[1])
 	}
+	if n == 1 {
+		return // nothing to hold it against
+	}
 	if now-age > r.since {
 		j.inStage += many
 	}
--- a/choice/host.go
+++ b/choice/host.go
@@ -164,6 +164,9 @@
 	x, carry uint32 // chance
 
 	units   []*Unit    // those listed as ready, in this relay's own order, the nearest first
+	limit   float64    // open deliveries that it allows itself
+	wake    Tick       // when the timer is due
+	stall   Tick       // when this relay last came back from standing still
 	near    int        // how many of them it chooses from
 	held    []*Command // those without a unit, in the order of their end
 	scratch []*Command
