Give back the cap's slack while trial units answer slowly; bound rescues; weigh silence at once

While they answer more slowly than the earlier build's, the slack is given back. May harm: a slow build shows a little later, as it gets less. uses_cap reads lower.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -47,10 +47,13 @@
 	quiet       = 0.6         // of a service target: how long a unit may stay silent
 	coldPart    = 0.85        // of what the cold rule allows
 	coldSpread  = 3           // deviations of chance left free in it
-	nearLeast   = 8           // units that a relay chooses from
+	nearLeast   = 5           // units that a relay chooses from
 	nearMore    = 1           // and more for each command that comes in a service target
+	demoted     = 0.25        // failure share of a unit that goes to the end of the order
 	keptPace    = 4           // samples of a unit's pace
 	tardy       = 0.6         // of what was due: an answer later than this says that units are overloaded
+	rescuePart  = 0.02        // of what is acked: deliveries called off at silent units
+	rescueMost  = 3           // of them at once
 	limitFirst  = 4           // open deliveries of a relay, at its start
 	limitLess   = 0.1         // part by which such an answer lowers them
 	limitMore   = 0.03        // and an earlier one raises them
@@ -85,7 +88,7 @@
 		r.asking, r.askGap = true, Second
 		r.askAgain = now + r.span("rules.ask_every")/2
 	}
-	r.wake, r.limit = now+sweepEvery, limitFirst
+	r.wake, r.limit, r.rescues = now+sweepEvery, limitFirst, rescueMost
 	r.host.WakeAt(r.wake, 0)
 	return r
 }
@@ -376,6 +379,7 @@
 	if ending == Acked {
 		u.acks = keep(u.acks, now, keptUnit)
 		r.acks = append(r.acks, now)
+		r.rescues = min(r.rescues+rescuePart, rescueMost)
 		r.took[cmd.OpType] = keep(r.took[cmd.OpType], took, kept)
 		if cmd.Key != 0 && d.build >= r.news.Build && r.flag("rollout.forward_only") {
 			r.forward[cmd.Key] = max(r.forward[cmd.Key], d.build)
@@ -411,11 +415,10 @@
 		r.limit *= 1 + limitMore
 	}
 	if u.Start == d.since && d.ending < Cancelled {
-		r.weigh(u, failed || late || d.ending != Acked)
-		u.paces = keep(u.paces, float64(r.now-d.sent)/float64(d.late-d.sent), keptPace)
-		if late || d.ending > Errored {
-			r.demote(u)
+		if !d.marked {
+			r.weigh(u, failed || late || d.ending != Acked)
 		}
+		u.paces = keep(u.paces, float64(r.now-d.sent)/float64(d.late-d.sent), keptPace)
 	}
 	if !failed && d.ending != Acked && d.ending != TimedOut || r.spares(d, failed || slow) {
 		return // it was never looked at, or called off, or speaks for its unit alone
@@ -520,6 +523,9 @@
 		u.gap /= 2
 	}
 	u.marks = keep(u.marks, mark, keptUnit)
+	if bad && mean(u.marks) > demoted {
+		r.demote(u)
+	}
 	switch {
 	case !u.aside && u.doubt >= doubtAside:
 		u.aside = true
@@ -600,6 +606,10 @@
 		if now > d.due && !d.slow && d.sent >= r.stall && !d.first && !r.spares(d, true) {
 			r.pace(d, true)
 		}
+		if !d.marked && now-d.sent >= Tick(quiet*float64(r.target)) && r.silent(d.To) {
+			d.marked = true
+			r.weigh(d.To, true)
+		}
 		r.rescue(d)
 	}
 	if r.flag("limits.peers") && now >= r.tellAt && r.judged != nil {
@@ -630,10 +640,14 @@
 	// A cap is told before its machines have come and warmed. Until then trial sends keep to
 	// the machines' part of the fleet, with the slack that the first stage's cap gives over
 	// its share; once they run warm the cap alone binds. Guards against drowning the few.
-	r.fair = trial / max(whole, 1) * r.first("rollout.caps") / max(r.first("rollout.stage_shares"), 0.01)
-	if r.judged != nil {
-		share, _ := r.capOf(r.judged.build)
-		r.fair = capUse * min(r.fair, share)
+	// Where they answer more slowly than the others, the slack is taken back, so that the
+	// build is judged at the load that the others carry.
+	slack := max(1, r.first("rollout.caps")/max(r.first("rollout.stage_shares"), 0.01))
+	r.fair = trial / max(whole, 1) * slack
+	if j := r.judged; j != nil {
+		share, _ := r.capOf(j.build)
+		over := max(0, mean(j.sample.bad[len(r.opTypes)+1])-r.share(len(r.opTypes)+1))
+		r.fair = capUse * min(r.fair, share) * (1 - (1-1/slack)*min(1, over/excuse))
 	}
 	slices.Sort(shares)
 	r.common = shares[len(shares)/2]
@@ -662,9 +676,11 @@
 		r.word2(cmd, "repeats") == "at_most_once" || d.No+1 >= int(r.num("limits.max_deliveries")) {
 		return
 	}
+	if r.rescues < 1 {
+		return
+	}
+	r.rescues--
 	d.cancelled = true
-	r.weigh(d.To, true)
-	r.demote(d.To)
 	r.host.Cancel(d)
 }
 
--- a/choice/host.go
+++ b/choice/host.go
@@ -108,6 +108,7 @@
 	first     bool
 	trial     bool
 	ended     bool
+	marked    bool // its unit's silence was counted before it ended
 	slow      bool // counted as slow before it ended
 	cancelled bool
 	ending    Ending
@@ -165,6 +166,7 @@
 
 	units   []*Unit    // those listed as ready, in this relay's own order, the nearest first
 	limit   float64    // open deliveries that it allows itself
+	rescues float64    // that may be made now
 	wake    Tick       // when the timer is due
 	stall   Tick       // when this relay last came back from standing still
 	near    int        // how many of them it chooses from
