--- a/choice/choice.go
+++ b/choice/choice.go
@@ -52,11 +52,10 @@
 	demoted     = 0.25        // failure share of a unit that goes to the end of the order
 	keptPace    = 4           // samples of a unit's pace
 	tardy       = 0.6         // of what was due: an answer later than this says that units are overloaded
-	rescuePart  = 0.02        // of what is acked: deliveries called off at silent units
-	rescueMost  = 3           // of them at once
+	rescuePart  = 0.04        // of what is acked: deliveries called off at silent units
 	limitFirst  = 4           // open deliveries of a relay, at its start
 	limitLess   = 0.1         // part by which such an answer lowers them
-	limitMore   = 0.03        // and an earlier one raises them
+	limitMore   = 0.06        // and an earlier one raises them
 	tellEvery   = Second / 2  // between messages to peers
 	rateSpan    = 2 * Second  // over which the relay's own rate is taken
 	failing     = 0.75        // failure share of a unit that is to be set aside
@@ -88,7 +87,7 @@
 		r.asking, r.askGap = true, Second
 		r.askAgain = now + r.span("rules.ask_every")/2
 	}
-	r.wake, r.limit, r.rescues = now+sweepEvery, limitFirst, rescueMost
+	r.wake, r.limit, r.rescues = now+sweepEvery, limitFirst, nearLeast
 	r.host.WakeAt(r.wake, 0)
 	return r
 }
@@ -379,7 +378,7 @@
 	if ending == Acked {
 		u.acks = keep(u.acks, now, keptUnit)
 		r.acks = append(r.acks, now)
-		r.rescues = min(r.rescues+rescuePart, rescueMost)
+		r.rescues = min(r.rescues+rescuePart, float64(r.near))
 		r.took[cmd.OpType] = keep(r.took[cmd.OpType], took, kept)
 		if cmd.Key != 0 && d.build >= r.news.Build && r.flag("rollout.forward_only") {
 			r.forward[cmd.Key] = max(r.forward[cmd.Key], d.build)
@@ -410,8 +409,8 @@
 		slow, late = false, false
 	case u.heard < d.sent: // no sign of life: its unit's doing
 	case d.ending == Full || d.ending <= TimedOut && float64(r.now-d.sent) > tardy*float64(d.late-d.sent):
-		r.limit = max(1, r.limit*(1-limitLess))
-	case d.ending == Acked && r.open() >= r.limit/2:
+		r.limit = max(1, 2*r.whole/max(1, r.num("relays")), r.limit*(1-limitLess))
+	case d.ending == Acked && r.open()+1 >= r.limit/2:
 		r.limit *= 1 + limitMore
 	}
 	if u.Start == d.since && d.ending < Cancelled {
@@ -462,7 +461,7 @@
 	case d.build == j.build:
 		j.sample.add(last, x, kept)
 		if float64(len(r.asked)) <= max(1, r.whole)*(burst*j.asked+3*math.Sqrt(j.asked))/j.whole {
-			r.see(1+last, x, r.share(last)+burden+margin)
+			r.see(1+last, x, min(r.share(last), j.before+excuse)+burden+margin)
 		}
 	}
 }
