--- a/choice/choice.go
+++ b/choice/choice.go
@@ -619,7 +619,6 @@
 	r.figure()
 	r.acks, r.asked = recent(r.acks, now-rateSpan), recent(r.asked, now-rateSpan)
 	whole, trial, shares, doubted := 0.0, 0.0, []float64{0}, 0
-	r.whole = 0
 	for _, u := range r.units {
 		whole += r.warmth(u)
 		if r.onTrial(u.Build) {
@@ -627,13 +626,12 @@
 		}
 		if r.doubted(u) {
 			doubted++
-		} else {
-			r.whole += r.warmth(u)
 		}
 		if len(u.marks) > 0 {
 			shares = append(shares, mean(u.marks))
 		}
 	}
+	r.whole = whole
 	r.perUnit = float64(len(r.acks)) * float64(Second) / float64(rateSpan) / max(whole, 1)
 	r.near = nearLeast + int(nearMore*float64(len(r.asked))*float64(r.target)/float64(rateSpan))
 	// A cap is told before its machines have come and warmed. Until then trial sends keep to
