Let an error wait for the command's next answer before it counts against unit or build

Cause: commands that fail at any unit and are worth nothing were tried up to six times, held against units, and sent good builds back, also long after their release. Two errors end a command; an error counts only when the command is then acked elsewhere; at-most-once errors are excused by the share of commands that failed twice. May harm: a build that fails all commands of a type at every unit, where nothing earlier runs, is found by fewer outcomes.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -52,6 +52,7 @@
 	demoted     = 0.25        // failure share of a unit that goes to the end of the order
 	keptPace    = 4           // samples of a unit's pace
 	tardy       = 0.6         // of what was due: an answer later than this says that units are overloaded
+	mostErrors  = 2           // of one command
 	rescuePart  = 0.04        // of what is acked: deliveries called off at silent units
 	limitFirst  = 4           // open deliveries of a relay, at its start
 	limitLess   = 0.1         // part by which such an answer lowers them
@@ -387,7 +388,14 @@
 	r.score(d)
 	cmd.answered = cmd.answered || settled
 	if !cmd.answered && !cmd.held {
-		if slices.ContainsFunc(r.units, func(u *Unit) bool { return r.harmless(cmd, u) }) {
+		// Errors at two units speak for the command itself: more tries would only be work.
+		errors := 0
+		for _, d := range cmd.deliveries {
+			if d.ending == Errored {
+				errors++
+			}
+		}
+		if errors < mostErrors && slices.ContainsFunc(r.units, func(u *Unit) bool { return r.harmless(cmd, u) }) {
 			r.hold(cmd)
 		} else {
 			r.giveUp(cmd)
@@ -403,7 +411,6 @@
 func (r *Relay) score(d *Delivery) {
 	u := d.To
 	slow, late := r.now > d.due || d.ending == TimedOut, r.now > d.late
-	failed := d.ending == Errored || d.ending == Reset
 	switch stalled := d.sent < r.stall; {
 	case stalled:
 		slow, late = false, false
@@ -413,6 +420,29 @@
 	case d.ending == Acked && r.open()+1 >= r.limit/2:
 		r.limit *= 1 + limitMore
 	}
+	// An error of a command that is tried again waits for the next answer: an ack says that
+	// the unit or its build failed, an error at a second unit that the command itself did.
+	cmd := d.Cmd
+	switch before := cmd.suspect; {
+	case d.ending == Errored && before != nil:
+		r.own, cmd.suspect = keep(r.own, 1, kept), nil
+		return
+	case d.ending == Errored && r.word2(cmd, "repeats") != "at_most_once" && len(r.units) > 1 &&
+		!cmd.answered && len(cmd.deliveries) < int(r.num("limits.max_deliveries")):
+		cmd.suspect = d
+		return
+	case d.ending == Acked:
+		r.own, cmd.suspect = keep(r.own, 0, kept), nil
+		if before != nil {
+			r.count(before, false, false)
+		}
+	}
+	r.count(d, slow, late)
+}
+
+// count gives the end of a delivery to its unit's test and its build's streams.
+func (r *Relay) count(d *Delivery, slow, late bool) {
+	u, failed := d.To, d.ending == Errored || d.ending == Reset
 	if u.Start == d.since && d.ending < Cancelled {
 		if !d.marked {
 			r.weigh(u, failed || late || d.ending != Acked)
@@ -439,8 +469,8 @@
 		j.sample.add(op, x, kept)
 		j.inStage++
 		r.note(op, x)
-		r.see(0, x, r.edge(-1))
-		r.see(1+op, x, r.edge(op))
+		r.see(0, x, r.edge(-1, op))
+		r.see(1+op, x, r.edge(op, op))
 	}
 }
 
@@ -485,12 +515,18 @@
 	}
 }
 
-// edge is what an outcome of one op type is held against, or a flag.
-func (r *Relay) edge(which int) float64 {
-	if which == len(r.opTypes) {
-		return r.share(which) + margin*r.num("rollout.found_share")
+// edge is what an outcome of an op type, or a flag, is held against in a stream. Errors of
+// at-most-once commands cannot be tried elsewhere: they are excused by the share of the
+// others that failed by themselves.
+func (r *Relay) edge(stream, op int) float64 {
+	if op == len(r.opTypes) {
+		return r.share(op) + margin*r.num("rollout.found_share")
+	}
+	own := 0.0
+	if r.opTypes[op]["repeats"] == "at_most_once" {
+		own = mean(r.own)
 	}
-	return r.share(which) + margin
+	return r.share(stream) + own + margin
 }
 
 // answer gives an answer (0) or a flag (1) to the stream that counts wrong answers;
@@ -502,7 +538,7 @@
 	case build == j.build:
 		j.sample.add(last, x, keptFlags)
 		r.note(last, x)
-		r.see(1+last, x, r.edge(last))
+		r.see(1+last, x, r.edge(last, last))
 	case build < j.build:
 		r.base.add(last, x, keptFlags)
 	}
@@ -522,7 +558,7 @@
 		u.gap /= 2
 	}
 	u.marks = keep(u.marks, mark, keptUnit)
-	if bad && mean(u.marks) > demoted {
+	if bad && mean(u.marks) > demoted+r.common {
 		r.demote(u)
 	}
 	switch {
@@ -839,7 +875,7 @@
 	r.now = now
 	r.answer(u.Build, 1)
 	if u.Build == r.judged.build {
-		r.see(0, 1, r.edge(-1))
+		r.see(0, 1, r.edge(-1, opType))
 	}
 	r.consider()
 }
@@ -918,9 +954,9 @@
 		for i := range n {
 			x := float64((i+1)*bad/n - i*bad/n)
 			if which < ops {
-				r.see(0, x, r.edge(-1))
+				r.see(0, x, r.edge(-1, which))
 			}
-			r.see(1+which, x, r.edge(which))
+			r.see(1+which, x, r.edge(which, which))
 		}
 	}
 	r.consider()
--- a/choice/host.go
+++ b/choice/host.go
@@ -88,6 +88,7 @@
 	taken      Tick
 	deliveries []*Delivery
 	answered   bool
+	suspect    *Delivery // its error waits for the next answer
 	streaming  bool
 	held       bool
 	rank       float64 // among the held
@@ -167,6 +168,7 @@
 	units   []*Unit    // those listed as ready, in this relay's own order, the nearest first
 	limit   float64    // open deliveries that it allows itself
 	rescues float64    // that may be made now
+	own     []float64  // of the last commands answered or failed at two units, 1 for a failure
 	wake    Tick       // when the timer is due
 	stall   Tick       // when this relay last came back from standing still
 	near    int        // how many of them it chooses from
