--- a/choice/choice.go
+++ b/choice/choice.go
@@ -30,7 +30,7 @@
 	capUse      = 0.9  // of the cap, for first deliveries
 	mostTests   = 32   // open at once in one stream
 	leastSample = 20   // outcomes in a stage before a vote to go on
-	leastTimed  = 6    // outcomes of the build before a timed vote to go on
+	leastTimed  = 3    // outcomes of the build before a timed vote to go on
 	voteAfter   = 3 * Second
 	drawnOut    = 3    // times the middle time before the trial is slow
 	burden      = 0.22 // of slowness: by the greater load of units on trial
@@ -165,7 +165,7 @@
 	for _, u := range r.units {
 		switch {
 		case len(earlier) >= r.near && len(trial) >= r.near:
-		case !r.mayTake(cmd, u):
+		case !r.mayTake(cmd, u) || len(earlier) >= nearLeast && r.poor(u):
 		case !r.onTrial(u.Build):
 			earlier = append(earlier, u)
 		case r.exposable(cmd, l, u.Build):
@@ -241,6 +241,11 @@
 	return float64(u.inFlight) < r.room(u) && r.coldRoom(u)
 }
 
+// poor: it failed of late, and more of its last deliveries than others of the fleet do.
+func (r *Relay) poor(u *Unit) bool {
+	return r.now-u.failed < 2*gapMost && mean(u.marks) > demoted+r.common
+}
+
 // doubted: the unit was set aside, or owes an answer for longer than is usual.
 func (r *Relay) doubted(u *Unit) bool { return u.aside || r.silent(u) }
 
@@ -558,7 +563,10 @@
 		u.gap /= 2
 	}
 	u.marks = keep(u.marks, mark, keptUnit)
-	if bad && mean(u.marks) > demoted+r.common {
+	if bad {
+		u.failed = r.now
+	}
+	if r.poor(u) {
 		r.demote(u)
 	}
 	switch {
@@ -683,7 +691,7 @@
 		r.fair = capUse * min(r.fair, share) * (1 - (1-1/slack)*min(1, over/excuse))
 	}
 	slices.Sort(shares)
-	r.common = shares[len(shares)/2]
+	r.common = shares[len(shares)/4]
 	// When nearly every unit is in doubt the trouble is this relay's own, such as a stall.
 	r.alone = 8*doubted >= 7*len(r.units)
 	if r.asking && now >= r.askAgain { // asks for the list's changes, less often each time
--- a/choice/host.go
+++ b/choice/host.go
@@ -137,6 +137,7 @@
 	sends    []Tick    // sends within the cold window
 	coldFrom Tick      // the last of them, or when this process was first listed
 	coldDue  float64   // part of a budget's delivery that must come due since
+	failed   Tick      // the last time
 	marks    []float64 // the last outcomes, 1 for a failure
 	paces    []float64 // how long the last ones took, in parts of what was due
 	doubt    float64
