Hold a unit against this relay's own last outcomes at any unit

Cause: with a few good units and many tried once, the quarter of the fleet was bad too and no unit counted as poor.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -88,6 +88,7 @@
 		r.asking, r.askGap = true, Second
 		r.askAgain = now + r.span("rules.ask_every")/2
 	}
+	r.marks = make([]float64, keptUnit) // before any outcome the units are held to be good
 	r.wake, r.limit, r.rescues = now+sweepEvery, limitFirst, nearLeast
 	r.host.WakeAt(r.wake, 0)
 	return r
@@ -243,7 +244,7 @@
 
 // poor: it failed of late, and more of its last deliveries than others of the fleet do.
 func (r *Relay) poor(u *Unit) bool {
-	return r.now-u.failed < 2*gapMost && mean(u.marks) > demoted+r.common
+	return r.now-u.failed < 2*gapMost && mean(u.marks) > demoted+mean(r.marks)
 }
 
 // doubted: the unit was set aside, or owes an answer for longer than is usual.
@@ -553,7 +554,7 @@
 // that fails most of its deliveries against one that fails as the middle of the fleet
 // does, so that a trouble of all units sets none aside.
 func (r *Relay) weigh(u *Unit, bad bool) {
-	usual, mark := min(max(0.2, 1.5*r.common), 0.7), 0.0
+	usual, mark := min(max(0.2, 1.5*mean(r.marks)), 0.7), 0.0
 	if bad {
 		mark = 1
 		u.doubt = max(1, u.doubt) * failing / usual
@@ -562,7 +563,7 @@
 		u.doubt = max(1, u.doubt*(1-failing)/(1-usual))
 		u.gap /= 2
 	}
-	u.marks = keep(u.marks, mark, keptUnit)
+	u.marks, r.marks = keep(u.marks, mark, keptUnit), keep(r.marks, mark, kept)
 	if bad {
 		u.failed = r.now
 	}
@@ -662,7 +663,7 @@
 	}
 	r.figure()
 	r.acks, r.asked = recent(r.acks, now-rateSpan), recent(r.asked, now-rateSpan)
-	whole, trial, shares, doubted := 0.0, 0.0, []float64{0}, 0
+	whole, trial, doubted := 0.0, 0.0, 0
 	for _, u := range r.units {
 		whole += r.warmth(u)
 		if r.onTrial(u.Build) {
@@ -671,9 +672,6 @@
 		if r.doubted(u) {
 			doubted++
 		}
-		if len(u.marks) > 0 {
-			shares = append(shares, mean(u.marks))
-		}
 	}
 	r.whole = whole
 	r.perUnit = float64(len(r.acks)) * float64(Second) / float64(rateSpan) / max(whole, 1)
@@ -690,8 +688,6 @@
 		over := max(0, mean(j.sample.bad[len(r.opTypes)+1])-r.share(len(r.opTypes)+1))
 		r.fair = capUse * min(r.fair, share) * (1 - (1-1/slack)*min(1, over/excuse))
 	}
-	slices.Sort(shares)
-	r.common = shares[len(shares)/4]
 	// When nearly every unit is in doubt the trouble is this relay's own, such as a stall.
 	r.alone = 8*doubted >= 7*len(r.units)
 	if r.asking && now >= r.askAgain { // asks for the list's changes, less often each time
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 )
 
@@ -295,7 +296,7 @@
 		b.weigh(u, false)
 	}
 	check(t, "aside after the trickle went well", u.aside, false)
-	b.common = 0.9
+	b.marks = slices.Repeat([]float64{1}, kept)
 	for range 10 {
 		b.weigh(u, true)
 	}
--- a/choice/host.go
+++ b/choice/host.go
@@ -175,7 +175,7 @@
 	near    int        // how many of them it chooses from
 	held    []*Command // those without a unit, in the order of their end
 	scratch []*Command
-	common  float64     // the failure share of a unit in the middle of the fleet
+	marks   []float64   // the last outcomes at any unit, 1 for a failure
 	alone   bool        // nearly every unit is in doubt
 	out     []*Delivery // not ended, oldest first
 	acks    []Tick      // of the last seconds
