--- a/choice/choice.go
+++ b/choice/choice.go
@@ -40,7 +40,6 @@
 	fewSay      = 4    // relays that log what many see
 	kept        = 64   // samples of an op type at one build
 	keptFlags   = 512  // flags are rare
-	keptTallies = 4    // of an op type
 	keptUnit    = 16   // and of a unit
 	sweepEvery  = 50 * Second / 1000
 	roomPart    = 0.15        // of a service target: what a unit may owe
@@ -89,15 +88,14 @@
 		r.askAgain = now + r.span("rules.ask_every")/2
 	}
 	r.marks = make([]float64, keptUnit) // before any outcome the units are held to be good
-	r.wake, r.limit, r.rescues = now+sweepEvery, limitFirst, nearLeast
-	r.host.WakeAt(r.wake, 0)
+	r.limit, r.rescues = limitFirst, nearLeast
+	r.host.WakeAt(now+sweepEvery, 0)
 	return r
 }
 
 // Command takes a command.
 func (r *Relay) Command(now Tick, cmd *Command) {
-	r.at(now)
-	cmd.taken = now
+	r.now, cmd.taken = now, now
 	l := r.lane(cmd.OpType)
 	l.taken = append(l.taken, now)
 	if !cmd.Repeated {
@@ -109,14 +107,6 @@
 	r.serve()
 }
 
-// at takes the time. Where the timer is overdue the relay itself stood still, and how long
-// deliveries took that were out meanwhile says nothing of units or builds.
-func (r *Relay) at(now Tick) {
-	if r.now = now; now > r.wake+sweepEvery {
-		r.stall = now
-	}
-}
-
 // hold keeps a command by importance, then by the time when it loses its use. What a
 // customer asks beyond its share is of little importance. Guards the worth served in
 // overload and in one customer's burst; the least important op types pay for it.
@@ -235,7 +225,7 @@
 		by == r.news.Build && (r.news.Phase == OnTrial || r.news.Phase == Released)) {
 		return false // a forward-only key; its build may not be announced yet
 	}
-	if r.doubted(u) && !r.alone {
+	if r.doubted(u) {
 		// A trickle of commands that can be tried again tells whether it has come back.
 		return r.now >= u.nextTry && u.inFlight < 2 && r.word2(cmd, "repeats") != "at_most_once" && r.coldRoom(u)
 	}
@@ -374,7 +364,7 @@
 
 // Outcome takes the end of a delivery.
 func (r *Relay) Outcome(now Tick, d *Delivery, ending Ending, took Tick, settled bool, load []float64) {
-	r.at(now)
+	r.now = now
 	cmd, u := d.Cmd, d.To
 	d.ended, d.ending = true, ending
 	u.inFlight--
@@ -417,9 +407,7 @@
 func (r *Relay) score(d *Delivery) {
 	u := d.To
 	slow, late := r.now > d.due || d.ending == TimedOut, r.now > d.late
-	switch stalled := d.sent < r.stall; {
-	case stalled:
-		slow, late = false, false
+	switch {
 	case u.heard < d.sent: // no sign of life: its unit's doing
 	case d.ending == Full || d.ending <= TimedOut && float64(r.now-d.sent) > tardy*float64(d.late-d.sent):
 		r.limit = max(1, 2*r.whole/max(1, r.num("relays")), r.limit*(1-limitLess))
@@ -592,15 +580,11 @@
 func (r *Relay) see(which int, x, b float64) {
 	j, ops := r.judged, len(r.opTypes)
 	s := &j.streams[which]
-	failed, _ := j.sample.count(-1)
-	if n, wealth, ok := s.see(x, min(b, 0.9)); ok && j.alarm == "" && (which <= ops+2 || failed >= 2) {
+	if n, wealth, ok := s.see(x, min(b, 0.9)); ok && j.alarm == "" {
 		name := fmt.Sprint("op type ", which-1)
 		if which == 0 || which > ops {
 			name = map[int]string{0: "all commands", ops + 1: "wrong answers", ops + 2: "slowness"}[which]
 		}
-		if which > ops+2 {
-			name = fmt.Sprint("the tally of op type ", which-ops-3)
-		}
 		j.alarm = fmt.Sprintf("%s: test %d of %d, wealth %.3g against a share of %.3f", name, n, s.n, wealth, b)
 		r.host.Log(fmt.Sprintf("build %d alarm on %s", j.build, j.alarm))
 	}
@@ -643,11 +627,10 @@
 
 // Alarm takes the one timer: it scores what is overdue and works out the figures.
 func (r *Relay) Alarm(now Tick, tag uint32) {
-	r.at(now)
-	r.wake = now + sweepEvery
-	r.host.WakeAt(r.wake, tag)
+	r.now = now
+	r.host.WakeAt(now+sweepEvery, tag)
 	for _, d := range r.out {
-		if now > d.due && !d.slow && d.sent >= r.stall && !d.first && !r.spares(d, true) {
+		if now > d.due && !d.slow && !d.first && !r.spares(d, true) {
 			r.pace(d, true)
 		}
 		if !d.marked && now-d.sent >= Tick(quiet*float64(r.target)) && r.silent(d.To) {
@@ -663,15 +646,12 @@
 	}
 	r.figure()
 	r.acks, r.asked = recent(r.acks, now-rateSpan), recent(r.asked, now-rateSpan)
-	whole, trial, doubted := 0.0, 0.0, 0
+	whole, trial := 0.0, 0.0
 	for _, u := range r.units {
 		whole += r.warmth(u)
 		if r.onTrial(u.Build) {
 			trial += r.warmth(u)
 		}
-		if r.doubted(u) {
-			doubted++
-		}
 	}
 	r.whole = whole
 	r.perUnit = float64(len(r.acks)) * float64(Second) / float64(rateSpan) / max(whole, 1)
@@ -688,8 +668,6 @@
 		over := max(0, mean(j.sample.bad[len(r.opTypes)+1])-r.share(len(r.opTypes)+1))
 		r.fair = capUse * min(r.fair, share) * (1 - (1-1/slack)*min(1, over/excuse))
 	}
-	// When nearly every unit is in doubt the trouble is this relay's own, such as a stall.
-	r.alone = 8*doubted >= 7*len(r.units)
 	if r.asking && now >= r.askAgain { // asks for the list's changes, less often each time
 		r.host.Watch(true)
 		r.askGap = min(2*r.askGap, r.span("rules.ask_every")/2)
@@ -766,11 +744,11 @@
 	}
 	ops := len(r.opTypes)
 	r.tell = make([]byte, 2*ops+2)
-	r.judged = &trial{build: build, sample: newSample(len(r.opTypes)), streams: make([]stream, 2*ops+3),
-		tallied: make([][][2]int, ops), before: r.share(ops + 1), middle: slices.Clone(r.middle), asked: float64(len(r.asked)), whole: max(1, r.whole)}
+	r.judged = &trial{build: build, sample: newSample(len(r.opTypes)), streams: make([]stream, ops+3),
+		before: r.share(ops + 1), middle: slices.Clone(r.middle), asked: float64(len(r.asked)), whole: max(1, r.whole)}
 	for i := range r.judged.streams {
 		r.judged.streams[i].level = alpha
-		if i > 0 && i <= ops || i > ops+2 {
+		if i > 0 && i <= ops {
 			r.judged.streams[i].level = alpha / float64(ops)
 		} else if i == ops+2 { // of what can mislead a relay, one misled relay decides
 			r.judged.streams[i].level = alpha / max(1, r.num("relays"))
@@ -810,7 +788,7 @@
 	}
 	// A fleet much slower than before the trial holds the vote too: it may be the build's doing.
 	wary := j.wary() || r.share(len(r.opTypes)+1) > j.before+excuse
-	timed := r.now-r.since >= voteAfter && j.streams[0].n+j.seen >= leastTimed
+	timed := r.now-r.since >= voteAfter && j.streams[0].n >= leastTimed
 	clocked := r.word("rollout.control") == "clocked"
 	switch {
 	case j.alarm != "":
@@ -902,38 +880,9 @@
 	}
 }
 
-// Tally takes the platform's count of one op type at one build, the same at every relay. A
-// count of the judged build goes to a stream of its own, held against the same count of the
-// earlier build, as it holds all endings. Guards against waiting for outcomes of its own at a
-// relay that sees few.
-func (r *Relay) Tally(now Tick, build uint16, opType, many, failed int, took, age Tick) {
-	r.now = now
-	j := r.judged
-	if j == nil || build > j.build {
-		return
-	}
-	if build < j.build {
-		j.tallied[opType] = keep(j.tallied[opType], [2]int{many, failed}, keptTallies)
-		return
-	}
-	bad, n := 0.5, 1.0
-	for _, t := range j.tallied[opType] {
-		n, bad = n+float64(t[0]), bad+float64(t[1])
-	}
-	if n == 1 {
-		return // nothing to hold it against
-	}
-	if now-age > r.since {
-		j.inStage += many
-	}
-	j.seen += many
-	for i := range many {
-		r.see(len(r.opTypes)+3+opType, float64((i+1)*failed/many-i*failed/many), firstGuess*bad/n+excuse/2+margin)
-	}
-	r.consider()
-}
+// The design judges by own outcomes: Tally, the platform's count, is not used, nor are probes.
+func (r *Relay) Tally(now Tick, build uint16, opType, many, failed int, took, age Tick) { r.now = now }
 
-// Probed takes the end of a probe; the module sends none.
 func (r *Relay) Probed(now Tick, u *Unit, ending Ending, took Tick, load []float64) { r.now = now }
 
 // note counts an outcome at the judged build for the other relays.
--- a/choice/host.go
+++ b/choice/host.go
@@ -107,7 +107,6 @@
 	build     uint16
 	since     Tick // To's start as it was known when this was sent
 	first     bool
-	trial     bool
 	ended     bool
 	marked    bool // its unit's silence was counted before it ended
 	slow      bool // counted as slow before it ended
@@ -170,13 +169,10 @@
 	limit   float64    // open deliveries that it allows itself
 	rescues float64    // that may be made now
 	own     []float64  // of the last commands answered or failed at two units, 1 for a failure
-	wake    Tick       // when the timer is due
-	stall   Tick       // when this relay last came back from standing still
 	near    int        // how many of them it chooses from
 	held    []*Command // those without a unit, in the order of their end
 	scratch []*Command
 	marks   []float64   // the last outcomes at any unit, 1 for a failure
-	alone   bool        // nearly every unit is in doubt
 	out     []*Delivery // not ended, oldest first
 	acks    []Tick      // of the last seconds
 	asked   []Tick      // commands taken in them, repeats aside
@@ -220,12 +216,10 @@
 	sample  *sample
 	streams []stream // all outcomes, one an op type, wrong answers
 	inStage int
-	seen    int        // outcomes that tallies counted
-	tallied [][][2]int // the last tallies of the earlier build by op type: all and failed
-	whole   float64    // units in use then, by warmth
-	asked   float64    // commands, repeats aside, in the last seconds when this one came
-	before  float64    // the earlier build's failure share when this one came
-	middle  []Tick     // and the middle time of each op type's deliveries
+	whole   float64 // units in use then, by warmth
+	asked   float64 // commands, repeats aside, in the last seconds when this one came
+	before  float64 // the earlier build's failure share when this one came
+	middle  []Tick  // and the middle time of each op type's deliveries
 	alarm   string
 }
 
