--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,22 +1,21 @@
-// Package choice decides for one relay: where each command goes, how long a
-// delivery may take, what is tried again or given up, and how the relay votes on
-// the build on trial.
+// Package choice decides for one relay: where each command goes, how long a delivery may take,
+// what is tried again or given up, and how the relay votes on the build on trial.
 //
-// How to call it: New makes the Relay of one instance. Call the one method that names
-// what has happened, with the time; it acts at once through the Host that New was given.
-// Calls come one at a time, in order. Types and the Host interface are in host.go.
-// Settings are a plain map of names to values, times in seconds.
+// How to call it: New makes the Relay of one instance. Call the one method that names what has
+// happened, with the time, one call at a time; it acts at once through the Host that New was given.
+// Types and the Host interface are in host.go. Settings are a plain map, times in seconds.
 //
 // The design (docs/design.md) decides the ordinary path. Beside it stand:
-//  1. the room of a unit: no more in flight than it answers in part of a target
+//  1. room: of a unit and of the relay, by how many answers come early enough
 //  2. commands that find no room are held, and given up when the target is lost
-//  3. units set aside by a sequential test, with a trickle that doubles
-//  4. the cold budget
+//  3. units: an order of the relay's own, a sequential test, a trickle that doubles
+//  4. the cold budget, one for all relays
 //  5. a test for each op type and one for wrong answers, fed by peers where they may talk
 //  6. lateness against the earlier build, scored as the time-out of a delivery
 package choice
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -36,7 +35,6 @@
 	burden      = 0.22 // of slowness: by the greater load of units on trial
 	excuse      = 0.1  // of slowness: by the fleet's own rise in a trial
 	burst       = 1.2  // times what was asked before the trial: slowness is the callers' doing
-	overShare   = 1.5  // times its share: a customer's commands rank low
 	fewSay      = 4    // relays that log what many see
 	kept        = 64   // samples of an op type at one build
 	keptFlags   = 512  // flags are rare
@@ -47,13 +45,9 @@
 	coldPart    = 0.85        // of what the cold rule allows
 	coldSpread  = 3           // deviations of chance left free in it
 	nearLeast   = 5           // units that a relay chooses from
-	nearMore    = 1           // and more for each command that comes in a service target
 	demoted     = 0.25        // failure share of a unit that goes to the end of the order
-	keptPace    = 4           // samples of a unit's pace
 	tardy       = 0.6         // of what was due: an answer later than this says that units are overloaded
-	mostErrors  = 2           // of one command
 	rescuePart  = 0.04        // of what is acked: deliveries called off at silent units
-	limitFirst  = 4           // open deliveries of a relay, at its start
 	limitLess   = 0.1         // part by which such an answer lowers them
 	limitMore   = 0.06        // and an earlier one raises them
 	tellEvery   = Second / 2  // between messages to peers
@@ -68,19 +62,7 @@
 // New makes the module of one instance, started now with its seed and settings.
 func New(host Host, now Tick, seed uint64, settings map[string]any) *Relay {
 	r := &Relay{host: host, set: settings, now: now, born: now, forward: map[uint64]uint16{}}
-	r.x, r.carry = uint32(seed), uint32(seed>>32)%4294957664+1
-	r.opTypes, _ = settings["op_types"].([]map[string]any)
-	r.lanes = make([]lane, 1)
-	if r.word("rollout.exposure_by") == "op_type" {
-		r.lanes = make([]lane, len(r.opTypes))
-	}
-	r.base = newSample(len(r.opTypes))
-	r.took, r.typical = make([][]Tick, len(r.opTypes)), make([]Tick, len(r.opTypes))
-	r.middle = make([]Tick, len(r.opTypes))
-	r.target, r.near = Tick(math.MaxInt64), nearLeast
-	for _, t := range r.opTypes {
-		r.target = min(r.target, ticks(t["service_target"]))
-	}
+	r.prepare(seed)
 	r.figure()
 	if r.word("discovery") == "subscribe" {
 		r.host.Watch(true)
@@ -88,12 +70,11 @@
 		r.askAgain = now + r.span("rules.ask_every")/2
 	}
 	r.marks = make([]float64, keptUnit) // before any outcome the units are held to be good
-	r.limit, r.rescues = limitFirst, nearLeast
+	r.near, r.limit, r.rescues = nearLeast, nearLeast, nearLeast
 	r.host.WakeAt(now+sweepEvery, 0)
 	return r
 }
 
-// Command takes a command.
 func (r *Relay) Command(now Tick, cmd *Command) {
 	r.now, cmd.taken = now, now
 	l := r.lane(cmd.OpType)
@@ -107,9 +88,8 @@
 	r.serve()
 }
 
-// hold keeps a command by importance, then by the time when it loses its use. What a
-// customer asks beyond its share is of little importance. Guards the worth served in
-// overload and in one customer's burst; the least important op types pay for it.
+// hold keeps a command by importance, then by the time when it loses its use. Guards the worth
+// served in overload; the least important op types pay for it.
 func (r *Relay) hold(cmd *Command) {
 	cmd.end = min(cmd.NotAfter-2*sweepEvery, cmd.taken+r.opSpan(cmd, "service_target"))
 	if r.now >= cmd.end-r.typical[cmd.OpType] {
@@ -117,18 +97,16 @@
 		return
 	}
 	cmd.held = true
-	at := slices.IndexFunc(r.held, func(c *Command) bool {
-		return c.rank < cmd.rank || c.rank == cmd.rank && c.end > cmd.end
+	at, _ := slices.BinarySearchFunc(r.held, cmd, func(c, _ *Command) int {
+		return cmp.Or(cmp.Compare(cmd.rank, c.rank), cmp.Compare(c.end, cmd.end), -1)
 	})
-	if at < 0 {
-		at = len(r.held)
-	}
 	r.held = slices.Insert(r.held, at, cmd)
 }
 
 // serve routes what is held, the most urgent first, until a few find no unit.
 func (r *Relay) serve() {
-	left, stuck, i := r.scratch[:0], 0, 0
+	var left []*Command
+	stuck, i := 0, 0
 	for ; i < len(r.held) && stuck < 4; i++ {
 		cmd := r.held[i]
 		switch {
@@ -142,7 +120,6 @@
 			left = append(left, cmd)
 		}
 	}
-	r.scratch = left
 	r.held = slices.Replace(r.held, 0, i, left...)
 }
 
@@ -154,16 +131,15 @@
 	l := r.lane(cmd.OpType)
 	var earlier, trial []*Unit // the nearest that may take it
 	for _, u := range r.units {
-		switch {
-		case len(earlier) >= r.near && len(trial) >= r.near:
+		switch tried := r.onTrial(u.Build); {
+		case tried && len(trial) >= 2+int(r.fair*float64(r.near)) || !tried && len(earlier) >= r.near:
 		case !r.mayTake(cmd, u) || len(earlier) >= nearLeast && r.poor(u):
-		case !r.onTrial(u.Build):
+		case !tried:
 			earlier = append(earlier, u)
 		case r.exposable(cmd, l, u.Build):
 			trial = append(trial, u)
 		}
 	}
-	earlier, trial = earlier[:min(len(earlier), r.near)], trial[:min(len(trial), 2+int(r.fair*float64(r.near)))]
 	pool := earlier // where nothing earlier can take it, the tenth kept back may be used
 	if len(pool) == 0 || len(cmd.deliveries) == 0 && l.credit >= 1 && len(trial) > 0 {
 		pool = trial
@@ -202,18 +178,6 @@
 	return true
 }
 
-// open counts the deliveries that are out at units that still answer.
-func (r *Relay) open() float64 {
-	n := 0.0
-	for _, d := range r.out {
-		if !d.cancelled && !r.silent(d.To) {
-			n++
-		}
-	}
-	return n
-}
-
-// mayTake says whether a unit may get this command now, trial or not.
 func (r *Relay) mayTake(cmd *Command, u *Unit) bool {
 	if u.State != Ready || !r.harmless(cmd, u) {
 		return false
@@ -244,9 +208,8 @@
 	return u.inFlight > 0 && float64(r.now-max(u.heard, u.oldest))*r.warmth(u) > quiet*float64(r.target)
 }
 
-// room bounds what is in flight at a unit by what it answered of late, so that a
-// slow or overfull unit fills up no further. Guards against slow units, overload
-// and queues that outlast the service target; hurts right after an idle spell.
+// room bounds what is in flight at a unit by what it answered of late. Guards against slow units,
+// overload and queues that outlast the service target; hurts right after an idle spell.
 func (r *Relay) room(u *Unit) float64 {
 	least := r.warmth(u) // one in flight, at a warm unit
 	if len(u.acks) < 2 {
@@ -255,21 +218,9 @@
 	return least + roomPart*float64(r.target)*float64(len(u.acks))/float64(max(1, r.now-u.acks[0]))
 }
 
-// warmth is the part of its capacity that a unit has at the least.
-func (r *Relay) warmth(u *Unit) float64 {
-	cold := r.span("rules.cold")
-	if u.Start == 0 || r.now-u.Start >= cold {
-		return 1
-	}
-	from := r.num("rules.cold_from")
-	return from + (1-from)*float64(max(0, r.now-u.Start))/float64(cold)
-}
-
-// coldRoom keeps this relay's part of the cold budget: a part of what the rule
-// allows, in terms of what this relay's warm units answer. As every relay keeps to
-// its own warm rate, all together stay under the rule without speaking. A part of less
-// than one delivery a window comes due from a moment drawn at the start, and as chance
-// then piles up the relays' deliveries, they leave room for three deviations.
+// coldRoom keeps this relay's part of the cold budget, in terms of what its warm units answer: as
+// every relay keeps to its own warm rate, all together keep the rule. A part of less than one delivery
+// a window comes due from a drawn moment, and leaves room for what chance piles up among the relays.
 func (r *Relay) coldRoom(u *Unit) bool {
 	w, tip := r.warmth(u), r.span("rules.tip_after")
 	if w >= 1 {
@@ -286,20 +237,6 @@
 	return float64(r.now-u.coldFrom)*budget >= float64(tip)*u.coldDue
 }
 
-// onTrial: the exposure rule counts this build.
-func (r *Relay) onTrial(build uint16) bool {
-	return r.told && (build > r.news.Build || build == r.news.Build && r.news.Phase != Released)
-}
-
-// capOf is the cap of a build on trial; one that the news has not named counts as
-// in the first stage.
-func (r *Relay) capOf(build uint16) (share float64, stage int) {
-	if build == r.news.Build {
-		return r.news.Cap, r.news.Stage
-	}
-	return r.first("rollout.caps"), 0
-}
-
 // exposable keeps the exposure rule for one more delivery at a build on trial.
 func (r *Relay) exposable(cmd *Command, l *lane, build uint16) bool {
 	share, stage := r.capOf(build)
@@ -342,11 +279,6 @@
 	return u == nil || len(cmd.deliveries) < int(r.num("limits.max_deliveries"))
 }
 
-// mayHaveRun: only these endings prove that a delivery never ran.
-func (d *Delivery) mayHaveRun() bool {
-	return !d.ended || d.ending != Full && d.ending != ConnectFailed && d.ending != Moot
-}
-
 // giveUp answers at once, with the time to come back where clients are told one.
 func (r *Relay) giveUp(cmd *Command) {
 	cmd.answered = true
@@ -362,7 +294,6 @@
 	r.host.Nack(cmd, back)
 }
 
-// Outcome takes the end of a delivery.
 func (r *Relay) Outcome(now Tick, d *Delivery, ending Ending, took Tick, settled bool, load []float64) {
 	r.now = now
 	cmd, u := d.Cmd, d.To
@@ -384,14 +315,8 @@
 	r.score(d)
 	cmd.answered = cmd.answered || settled
 	if !cmd.answered && !cmd.held {
-		// Errors at two units speak for the command itself: more tries would only be work.
-		errors := 0
-		for _, d := range cmd.deliveries {
-			if d.ending == Errored {
-				errors++
-			}
-		}
-		if errors < mostErrors && slices.ContainsFunc(r.units, func(u *Unit) bool { return r.harmless(cmd, u) }) {
+		may := func(u *Unit) bool { return !cmd.hopeless && r.harmless(cmd, u) }
+		if slices.ContainsFunc(r.units, may) {
 			r.hold(cmd)
 		} else {
 			r.giveUp(cmd)
@@ -401,14 +326,12 @@
 	r.consider()
 }
 
-// score turns the end of a delivery into an outcome of its unit and of its build: an
-// error or a reset scores 1, an answer 0. Whether it took longer than its due counts in a
-// stream of its own, as a unit on trial carries more load than others and may be warming.
+// score sets the limit on open deliveries and finds out what an error speaks for. The limit guards
+// against overload where hundreds of relays load the same units; no answer is no sign of that.
 func (r *Relay) score(d *Delivery) {
-	u := d.To
 	slow, late := r.now > d.due || d.ending == TimedOut, r.now > d.late
 	switch {
-	case u.heard < d.sent: // no sign of life: its unit's doing
+	case d.To.heard < d.sent:
 	case d.ending == Full || d.ending <= TimedOut && float64(r.now-d.sent) > tardy*float64(d.late-d.sent):
 		r.limit = max(1, 2*r.whole/max(1, r.num("relays")), r.limit*(1-limitLess))
 	case d.ending == Acked && r.open()+1 >= r.limit/2:
@@ -416,10 +339,11 @@
 	}
 	// An error of a command that is tried again waits for the next answer: an ack says that
 	// the unit or its build failed, an error at a second unit that the command itself did.
+	// This guards against commands that fail anywhere; hurts where a build fails every unit's.
 	cmd := d.Cmd
 	switch before := cmd.suspect; {
 	case d.ending == Errored && before != nil:
-		r.own, cmd.suspect = keep(r.own, 1, kept), nil
+		r.own, cmd.suspect, cmd.hopeless = keep(r.own, 1, kept), nil, true
 		return
 	case d.ending == Errored && r.word2(cmd, "repeats") != "at_most_once" && len(r.units) > 1 &&
 		!cmd.answered && len(cmd.deliveries) < int(r.num("limits.max_deliveries")):
@@ -434,14 +358,15 @@
 	r.count(d, slow, late)
 }
 
-// count gives the end of a delivery to its unit's test and its build's streams.
+// count gives the end of a delivery to its unit's test and its build's streams: an error or a
+// reset scores 1, an answer 0. Whether it took longer than its due counts in a stream of its own.
 func (r *Relay) count(d *Delivery, slow, late bool) {
 	u, failed := d.To, d.ending == Errored || d.ending == Reset
 	if u.Start == d.since && d.ending < Cancelled {
 		if !d.marked {
 			r.weigh(u, failed || late || d.ending != Acked)
 		}
-		u.paces = keep(u.paces, float64(r.now-d.sent)/float64(d.late-d.sent), keptPace)
+		u.paces = keep(u.paces, float64(r.now-d.sent)/float64(d.late-d.sent), keptUnit/4)
 	}
 	if !failed && d.ending != Acked && d.ending != TimedOut || r.spares(d, failed || slow) {
 		return // it was never looked at, or called off, or speaks for its unit alone
@@ -468,11 +393,10 @@
 	}
 }
 
-// pace scores a delivery that has come to its due time (1) or ended before it (0): a
-// delivery that is slow counts as timed out. Its edge is raised: units on trial carry more
-// load by the cap and may be warming, and the earlier build excuses a little more than it
-// showed before the trial. Guards against builds that are slow, turn slow, or slow every
-// unit with the traffic they get; a burst of commands speaks for itself.
+// pace scores a delivery that has come to its due time (1) or ended before it (0): slow counts as
+// timed out. The edge is raised for the load and the warming of units on trial, and by little more
+// than the earlier build showed before. Guards against builds that are slow, turn slow, or slow all
+// units with the traffic they get; a burst of commands or a new connection speaks for itself.
 func (r *Relay) pace(d *Delivery, slow bool) {
 	j, last, x := r.judged, len(r.opTypes)+1, 0.0
 	if slow {
@@ -490,37 +414,25 @@
 	}
 }
 
-// spares: a unit that failed its own test, or is silent while others of its build answer,
-// speaks for itself and not for the build. Guards against dead, silent and broken units;
-// hurts when a bad build shows at some of its units only.
+// spares: a silent unit, or one that failed its own test while others of its build answer, speaks
+// for itself or its link. Guards the build against dead and broken units and links that lose
+// deliveries; hurts when a bad build shows at some units only.
 func (r *Relay) spares(d *Delivery, bad bool) bool {
 	return bad && d.To.heard < d.sent || d.To.aside && slices.ContainsFunc(r.units, func(o *Unit) bool {
 		return o != d.To && o.Build == d.build && !o.aside && len(o.acks) > 0
 	})
 }
 
-// demote puts a unit at the end of this relay's own order, so that the next one comes near
-// in its place. Guards, for relays that see few outcomes of each unit, against units that are
-// bad, silent or out of connections for this relay.
-func (r *Relay) demote(u *Unit) {
-	if at := slices.Index(r.units, u); at >= 0 {
-		copy(r.units[at:], r.units[at+1:])
-		r.units[len(r.units)-1] = u
-	}
-}
-
-// edge is what an outcome of an op type, or a flag, is held against in a stream. Errors of
-// at-most-once commands cannot be tried elsewhere: they are excused by the share of the
-// others that failed by themselves.
+// edge is what an outcome of an op type, or a flag, is held against in a stream. At-most-once
+// errors cannot be tried elsewhere: the share of other commands that failed twice excuses them.
 func (r *Relay) edge(stream, op int) float64 {
 	if op == len(r.opTypes) {
 		return r.share(op) + margin*r.num("rollout.found_share")
 	}
-	own := 0.0
 	if r.opTypes[op]["repeats"] == "at_most_once" {
-		own = mean(r.own)
+		return r.share(stream) + mean(r.own) + margin
 	}
-	return r.share(stream) + own + margin
+	return r.share(stream) + margin
 }
 
 // answer gives an answer (0) or a flag (1) to the stream that counts wrong answers;
@@ -538,13 +450,14 @@
 	}
 }
 
-// weigh is the sequential test on a unit's outcomes, and its trickle. It bets on a unit
-// that fails most of its deliveries against one that fails as the middle of the fleet
-// does, so that a trouble of all units sets none aside.
+// weigh is the sequential test on a unit's outcomes, and its trickle. It bets on a unit that fails
+// most of its deliveries against one that fails as this relay's last ones did, so that a trouble of
+// all sets none aside. A poor unit goes to the end of this relay's own order and the next comes near.
+// Guards against units that are bad, silent or out of connections, maybe for this relay alone.
 func (r *Relay) weigh(u *Unit, bad bool) {
 	usual, mark := min(max(0.2, 1.5*mean(r.marks)), 0.7), 0.0
 	if bad {
-		mark = 1
+		mark, u.failed = 1, r.now
 		u.doubt = max(1, u.doubt) * failing / usual
 		u.gap = min(max(u.gap*2, gapFirst), gapMost)
 	} else {
@@ -552,11 +465,8 @@
 		u.gap /= 2
 	}
 	u.marks, r.marks = keep(u.marks, mark, keptUnit), keep(r.marks, mark, kept)
-	if bad {
-		u.failed = r.now
-	}
 	if r.poor(u) {
-		r.demote(u)
+		toEnd(r.units, u)
 	}
 	switch {
 	case !u.aside && u.doubt >= doubtAside:
@@ -578,15 +488,12 @@
 
 // see gives one outcome to a stream of the judged build: all, one op type, flags, slowness.
 func (r *Relay) see(which int, x, b float64) {
-	j, ops := r.judged, len(r.opTypes)
+	j := r.judged
 	s := &j.streams[which]
 	if n, wealth, ok := s.see(x, min(b, 0.9)); ok && j.alarm == "" {
-		name := fmt.Sprint("op type ", which-1)
-		if which == 0 || which > ops {
-			name = map[int]string{0: "all commands", ops + 1: "wrong answers", ops + 2: "slowness"}[which]
-		}
+		name := streamName(which, len(r.opTypes))
 		j.alarm = fmt.Sprintf("%s: test %d of %d, wealth %.3g against a share of %.3f", name, n, s.n, wealth, b)
-		r.host.Log(fmt.Sprintf("build %d alarm on %s", j.build, j.alarm))
+		r.say(fmt.Sprintf("build %d alarm on %s", j.build, j.alarm))
 	}
 }
 
@@ -613,12 +520,10 @@
 	return start, wealth, alarm
 }
 
-// threshold is the wealth at which the n-th test rejects.
 func (s *stream) threshold(t *test) float64 {
 	return math.Pi * math.Pi * float64(t.start) * float64(t.start) / (6 * s.level)
 }
 
-// wary says whether any test holds a vote to go on back.
 func (j *trial) wary() bool {
 	return slices.ContainsFunc(j.streams, func(s stream) bool {
 		return slices.ContainsFunc(s.tests, func(t test) bool { return t.wealth > math.Sqrt(s.threshold(&t)) })
@@ -646,23 +551,22 @@
 	}
 	r.figure()
 	r.acks, r.asked = recent(r.acks, now-rateSpan), recent(r.asked, now-rateSpan)
-	whole, trial := 0.0, 0.0
+	trial := 0.0
+	r.whole = 0
 	for _, u := range r.units {
-		whole += r.warmth(u)
+		r.whole += r.warmth(u)
 		if r.onTrial(u.Build) {
 			trial += r.warmth(u)
 		}
 	}
-	r.whole = whole
-	r.perUnit = float64(len(r.acks)) * float64(Second) / float64(rateSpan) / max(whole, 1)
-	r.near = nearLeast + int(nearMore*float64(len(r.asked))*float64(r.target)/float64(rateSpan))
-	// A cap is told before its machines have come and warmed. Until then trial sends keep to
-	// the machines' part of the fleet, with the slack that the first stage's cap gives over
-	// its share; once they run warm the cap alone binds. Guards against drowning the few.
-	// Where they answer more slowly than the others, the slack is taken back, so that the
-	// build is judged at the load that the others carry.
+	r.perUnit = float64(len(r.acks)) * float64(Second) / float64(rateSpan) / max(r.whole, 1)
+	r.near = nearLeast + len(r.asked)*int(r.target)/int(rateSpan)
+	// A cap is told before its machines have come and warmed. Until then trial sends keep to the
+	// machines' part of the fleet, with the slack of the first stage's cap over its share. While
+	// they answer more slowly than the others, the slack is given back too: the build is judged
+	// at the load that the others carry. Guards against drowning the few and blaming the build.
 	slack := max(1, r.first("rollout.caps")/max(r.first("rollout.stage_shares"), 0.01))
-	r.fair = trial / max(whole, 1) * slack
+	r.fair = trial / max(r.whole, 1) * slack
 	if j := r.judged; j != nil {
 		share, _ := r.capOf(j.build)
 		over := max(0, mean(j.sample.bad[len(r.opTypes)+1])-r.share(len(r.opTypes)+1))
@@ -682,18 +586,15 @@
 	r.consider()
 }
 
-// rescue calls off a delivery at a silent unit, to serve the command elsewhere in time. Guards
-// against dead and hung units and cut links; one that still answers is spared the added load.
+// rescue calls off a delivery at a silent unit, to serve the command elsewhere in time, for a small
+// part of what is acked: on a loaded day many are late. Guards against dead and hung units, cut links.
 func (r *Relay) rescue(d *Delivery) {
 	cmd := d.Cmd
-	if d.cancelled || cmd.answered || cmd.streaming || !r.flag("limits.may_cancel") || !r.silent(d.To) ||
-		float64(r.now-d.sent) < quiet*float64(r.target) || r.now >= cmd.end-r.typical[cmd.OpType] ||
+	if r.rescues < 1 || d.cancelled || cmd.answered || cmd.streaming || !r.flag("limits.may_cancel") ||
+		!d.marked || !r.silent(d.To) || r.now >= cmd.end-r.typical[cmd.OpType] ||
 		r.word2(cmd, "repeats") == "at_most_once" || d.No+1 >= int(r.num("limits.max_deliveries")) {
 		return
 	}
-	if r.rescues < 1 {
-		return
-	}
 	r.rescues--
 	d.cancelled = true
 	r.host.Cancel(d)
@@ -710,7 +611,6 @@
 	r.serve()
 }
 
-// UnitListed takes what the list says of one unit, changed or not.
 func (r *Relay) UnitListed(now Tick, u *Unit, is Listing) {
 	r.now = now
 	if u.known && (is.Start != u.Start || is.Build != u.Build) { // another process: nothing known holds
@@ -718,17 +618,10 @@
 		u.heard, u.oldest = now, now
 	}
 	if !u.known || is.Start != u.Start {
-		u.coldFrom, u.coldDue = now, float64(r.chance(1000))/1000
+		u.coldFrom, u.coldDue = now, float64(1+r.chance(1000))/1000
 	}
 	u.known, u.Listing = true, is
-	at := slices.Index(r.units, u)
-	switch {
-	case is.State == Ready && at < 0:
-		r.units = slices.Insert(r.units, r.chance(len(r.units)+1), u)
-	case is.State != Ready && at >= 0:
-		r.units = slices.Delete(r.units, at, at+1)
-	}
-	if is.State == Ready {
+	if r.units = listed(r.units, u, r.chance(len(r.units)+1)); is.State == Ready {
 		r.judge(is.Build)
 	}
 }
@@ -744,19 +637,17 @@
 	}
 	ops := len(r.opTypes)
 	r.tell = make([]byte, 2*ops+2)
-	r.judged = &trial{build: build, sample: newSample(len(r.opTypes)), streams: make([]stream, ops+3),
-		before: r.share(ops + 1), middle: slices.Clone(r.middle), asked: float64(len(r.asked)), whole: max(1, r.whole)}
+	r.judged = &trial{build: build, sample: newSample(ops), streams: make([]stream, ops+3),
+		before: r.share(ops + 1), middle: slices.Clone(r.middle), asked: float64(len(r.asked)),
+		whole: max(1, r.whole)}
 	for i := range r.judged.streams {
-		r.judged.streams[i].level = alpha
-		if i > 0 && i <= ops {
-			r.judged.streams[i].level = alpha / float64(ops)
-		} else if i == ops+2 { // of what can mislead a relay, one misled relay decides
-			r.judged.streams[i].level = alpha / max(1, r.num("relays"))
-		}
+		r.judged.streams[i].level = alpha / float64(ops)
 	}
+	r.judged.streams[0].level, r.judged.streams[ops+1].level = alpha, alpha
+	// Load can mislead a relay as to slowness, and one misled relay decides for all.
+	r.judged.streams[ops+2].level = alpha / max(1, r.num("relays"))
 }
 
-// Stage takes news of the newest build, or the answer to a vote.
 func (r *Relay) Stage(now Tick, news StageNews) {
 	r.now = now
 	if news.Answer {
@@ -780,7 +671,6 @@
 	r.consider()
 }
 
-// verdict is what this relay would vote now.
 func (r *Relay) verdict() Verdict {
 	j := r.judged
 	if !r.told || j == nil || j.build != r.news.Build || r.news.Phase != OnTrial && r.news.Phase != Released {
@@ -803,7 +693,6 @@
 	return NoVote
 }
 
-// consider casts, renews or leaves the vote.
 func (r *Relay) consider() {
 	want, v := r.verdict(), &r.ballot
 	if want == NoVote {
@@ -829,18 +718,17 @@
 	switch v.state {
 	case drawn:
 		v.state, v.at = cast, r.now+r.span("rollout.vote_wait")+Second
-		why, log := fmt.Sprintf("%d outcomes, none against it", r.judged.inStage), r.say
-		if want != GoOn {
-			why, log = r.judged.alarm, r.host.Log
+		if want == GoOn {
+			r.say(fmt.Sprintf("vote 1 on build %d stage %d: %d outcomes", v.build, v.stage, r.judged.inStage))
+		} else {
+			r.host.Log(fmt.Sprintf("vote %d on build %d stage %d: %s", want, v.build, v.stage, r.judged.alarm))
 		}
-		log(fmt.Sprintf("vote %d on build %d stage %d: %s", want, v.build, v.stage, why))
 		r.host.Vote(v.build, v.stage, want)
 	default: // no answer came, or it no longer stands: say it again
 		v.state = noBallot
 	}
 }
 
-// answered takes the platform's answer to the vote.
 func (r *Relay) answered(ending Ending) {
 	v := &r.ballot
 	if v.state != cast {
@@ -862,13 +750,6 @@
 	r.consider()
 }
 
-// Streaming takes the start of a streamed answer: the delivery is the client's now.
-func (r *Relay) Streaming(now Tick, d *Delivery) {
-	r.now = now
-	d.To.heard, d.Cmd.streaming = now, true
-	d.due = Tick(math.MaxInt64) // its time-out has stopped running
-}
-
 // Left takes that a client has gone: nothing is owed, and nothing more is sent.
 func (r *Relay) Left(now Tick, cmd *Command) {
 	r.now = now
@@ -880,17 +761,6 @@
 	}
 }
 
-// The design judges by own outcomes: Tally, the platform's count, is not used, nor are probes.
-func (r *Relay) Tally(now Tick, build uint16, opType, many, failed int, took, age Tick) { r.now = now }
-
-func (r *Relay) Probed(now Tick, u *Unit, ending Ending, took Tick, load []float64) { r.now = now }
-
-// note counts an outcome at the judged build for the other relays.
-func (r *Relay) note(which int, x float64) {
-	r.tell[2*which] = min(r.tell[2*which]+1, 254)
-	r.tell[2*which+1] = min(r.tell[2*which+1]+byte(x), r.tell[2*which])
-}
-
 // Told takes the counts of another relay: outcomes like its own, the bad ones spread
 // evenly. A relay sees a part of the traffic only; together they see a bad build sooner.
 func (r *Relay) Told(now Tick, from uint32, data []byte) {
@@ -915,8 +785,7 @@
 	r.consider()
 }
 
-// share is the earlier build's failure share of one op type, or of all (-1), the share
-// of its answers that were flagged, or the share of its deliveries that were slow.
+// share is the part of bad ones among the earlier build's outcomes of one kind, or of all (-1).
 func (r *Relay) share(which int) float64 {
 	bad, n := r.base.count(which)
 	return (bad + 0.5) / (n + 1)
@@ -933,5 +802,3 @@
 		}
 	}
 }
-
-func (r *Relay) lane(op int) *lane { return &r.lanes[min(op, len(r.lanes)-1)] }
--- a/choice/help.go
+++ b/choice/help.go
@@ -1,5 +1,11 @@
 package choice
 
+import (
+	"fmt"
+	"math"
+	"slices"
+)
+
 // chance draws from 0 to n-1 by multiply-with-carry.
 func (r *Relay) chance(n int) int {
 	t := 4294957665*uint64(r.x) + uint64(r.carry)
@@ -77,3 +83,109 @@
 	}
 	return bad, n
 }
+
+// open counts the deliveries that are out at units that still answer.
+func (r *Relay) open() float64 {
+	n := 0.0
+	for _, d := range r.out {
+		if !d.cancelled && !r.silent(d.To) {
+			n++
+		}
+	}
+	return n
+}
+
+// warmth is the part of its capacity that a unit has at the least.
+func (r *Relay) warmth(u *Unit) float64 {
+	cold := r.span("rules.cold")
+	if u.Start == 0 || r.now-u.Start >= cold {
+		return 1
+	}
+	from := r.num("rules.cold_from")
+	return from + (1-from)*float64(max(0, r.now-u.Start))/float64(cold)
+}
+
+// onTrial: the exposure rule counts this build.
+func (r *Relay) onTrial(build uint16) bool {
+	return r.told && (build > r.news.Build || build == r.news.Build && r.news.Phase != Released)
+}
+
+// capOf is the cap of a build on trial; one that the news has not named counts as
+// in the first stage.
+func (r *Relay) capOf(build uint16) (share float64, stage int) {
+	if build == r.news.Build {
+		return r.news.Cap, r.news.Stage
+	}
+	return r.first("rollout.caps"), 0
+}
+
+// mayHaveRun: only these endings prove that a delivery never ran.
+func (d *Delivery) mayHaveRun() bool {
+	return !d.ended || d.ending != Full && d.ending != ConnectFailed && d.ending != Moot
+}
+
+// note counts an outcome at the judged build for the other relays.
+func (r *Relay) note(which int, x float64) {
+	r.tell[2*which] = min(r.tell[2*which]+1, 254)
+	r.tell[2*which+1] = min(r.tell[2*which+1]+byte(x), r.tell[2*which])
+}
+
+func (r *Relay) lane(op int) *lane { return &r.lanes[min(op, len(r.lanes)-1)] }
+
+// The design judges by own outcomes: Tally, the platform's count, is not used, nor are probes.
+func (r *Relay) Tally(now Tick, build uint16, opType, many, failed int, took, age Tick) { r.now = now }
+
+func (r *Relay) Probed(now Tick, u *Unit, ending Ending, took Tick, load []float64) { r.now = now }
+
+// toEnd puts one at the end of a list that has it.
+func toEnd[T comparable](list []T, one T) {
+	if at := slices.Index(list, one); at >= 0 {
+		copy(list[at:], list[at+1:])
+		list[len(list)-1] = one
+	}
+}
+
+// listed puts a ready unit at a place of the list that lacks it, and takes out another.
+func listed(units []*Unit, u *Unit, place int) []*Unit {
+	at := slices.Index(units, u)
+	switch {
+	case u.State == Ready && at < 0:
+		return slices.Insert(units, place, u)
+	case u.State != Ready && at >= 0:
+		return slices.Delete(units, at, at+1)
+	}
+	return units
+}
+
+// streamName says in the log what a stream counts.
+func streamName(which, ops int) string {
+	name := map[int]string{0: "all commands", ops + 1: "wrong answers", ops + 2: "slowness"}[which]
+	if name == "" {
+		name = fmt.Sprint("op type ", which-1)
+	}
+	return name
+}
+
+// Streaming takes the start of a streamed answer: the delivery is the client's now.
+func (r *Relay) Streaming(now Tick, d *Delivery) {
+	r.now = now
+	d.To.heard, d.Cmd.streaming = now, true
+	d.due = Tick(math.MaxInt64) // its time-out has stopped running
+}
+
+// prepare starts the generator and makes room for what is kept by op type.
+func (r *Relay) prepare(seed uint64) {
+	r.x, r.carry = uint32(seed), uint32(seed>>32)%4294957664+1
+	r.opTypes, _ = r.set["op_types"].([]map[string]any)
+	ops := len(r.opTypes)
+	r.lanes = make([]lane, 1)
+	if r.word("rollout.exposure_by") == "op_type" {
+		r.lanes = make([]lane, ops)
+	}
+	r.base = newSample(ops)
+	r.took, r.typical, r.middle = make([][]Tick, ops), make([]Tick, ops), make([]Tick, ops)
+	r.target = Tick(math.MaxInt64)
+	for _, t := range r.opTypes {
+		r.target = min(r.target, ticks(t["service_target"]))
+	}
+}
--- a/choice/host.go
+++ b/choice/host.go
@@ -88,6 +88,7 @@
 	taken      Tick
 	deliveries []*Delivery
 	answered   bool
+	hopeless   bool      // it failed at two units
 	suspect    *Delivery // its error waits for the next answer
 	streaming  bool
 	held       bool
@@ -165,13 +166,12 @@
 	born     Tick
 	x, carry uint32 // chance
 
-	units   []*Unit    // those listed as ready, in this relay's own order, the nearest first
-	limit   float64    // open deliveries that it allows itself
-	rescues float64    // that may be made now
-	own     []float64  // of the last commands answered or failed at two units, 1 for a failure
-	near    int        // how many of them it chooses from
-	held    []*Command // those without a unit, in the order of their end
-	scratch []*Command
+	units   []*Unit     // those listed as ready, in this relay's own order, the nearest first
+	limit   float64     // open deliveries that it allows itself
+	rescues float64     // that may be made now
+	own     []float64   // of the last commands answered or failed at two units, 1 for a failure
+	near    int         // how many of them it chooses from
+	held    []*Command  // those without a unit, in the order of their end
 	marks   []float64   // the last outcomes at any unit, 1 for a failure
 	out     []*Delivery // not ended, oldest first
 	acks    []Tick      // of the last seconds
