--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -414,3 +414,66 @@
 		})
 	}
 }
+
+// A part of the cold budget of less than one delivery a window is one budget for all relays.
+func TestColdBudgetIsOneForAllRelays(t *testing.T) {
+	sent := 0
+	for seed := range 100 {
+		b := newBench(map[string]any{"relays": 100.0})
+		b.Relay.x = uint32(seed*7919 + 1)
+		u := b.unit(1, 1, start)
+		b.perUnit = 0.2 // 20 a second from all: at half its capacity a unit takes 20 in a window of 1 s
+		for range 10 {
+			if b.now += Second / 10; b.take(redeliverable).deliveries != nil {
+				u.inFlight = 0
+			}
+		}
+		sent += len(b.host.sent)
+	}
+	check(t, "some, and fewer than the rule allows", sent > 0 && sent < 20, true)
+}
+
+func TestErrorsOfACommandItself(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		then Ending
+		bad  float64
+	}{{"acked elsewhere: its build failed", Acked, 1}, {"failed again: its own doing", Errored, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(nil)
+			b.unit(1, 1, 0)
+			b.unit(2, 1, 0)
+			cmd := b.take(redeliverable)
+			b.end(cmd, Errored)
+			b.end(cmd, c.then)
+			bad, _ := b.judged.sample.count(-1)
+			check(t, "failures of the build", bad, c.bad)
+		})
+	}
+}
+
+func TestLimitOfOpenDeliveries(t *testing.T) {
+	b := newBench(map[string]any{"relays": 100.0})
+	b.unit(1, 1, 0)
+	for _, c := range []struct{ took, low, high Tick }{{4000, 1, 1}, {100, 2, 1e6}} { // slow answers, then early ones
+		for range 40 {
+			b.take(redeliverable)
+			b.now += c.took
+			b.answer()
+			b.host.sent = nil
+		}
+		check(t, "limit", b.limit >= float64(c.low) && b.limit <= float64(c.high), true)
+	}
+}
+
+// Settings that are absent or zero break nothing; a poor unit comes last.
+func TestOddSettingsAndPoorUnits(t *testing.T) {
+	b := newBench(map[string]any{"relays": nil, "rollout.votes_per_s": 0.0, "rollout.caps": nil, "rules.tip_after": nil})
+	poor := b.unit(1, 1, 0)
+	b.unit(2, 1, start)
+	b.news(2, 0, OnTrial, 0.2)
+	b.weigh(poor, true)
+	check(t, "last", b.units[len(b.units)-1], poor)
+	b.take(redeliverable)
+	b.pass(5 * Second)
+}
