--- a/choice/choice.go
+++ b/choice/choice.go
@@ -29,7 +29,7 @@
 	capUse      = 0.9  // of the cap, for first deliveries
 	mostTests   = 32   // open at once in one stream
 	leastSample = 20   // outcomes in a stage before a vote to go on
-	leastTimed  = 3    // outcomes of the build before a timed vote to go on
+	leastTimed  = 6    // outcomes of the build before a timed vote to go on, if few relays share the sample
 	voteAfter   = 3 * Second
 	drawnOut    = 3    // times the middle time before the trial is slow
 	burden      = 0.22 // of slowness: by the greater load of units on trial
@@ -88,8 +88,7 @@
 	r.serve()
 }
 
-// hold keeps a command by importance, then by the time when it loses its use. Guards the worth
-// served in overload; the least important op types pay for it.
+// hold keeps a command by importance, then by the time when it loses its use. Guards in overload.
 func (r *Relay) hold(cmd *Command) {
 	cmd.end = min(cmd.NotAfter-2*sweepEvery, cmd.taken+r.opSpan(cmd, "service_target"))
 	if r.now >= cmd.end-r.typical[cmd.OpType] {
@@ -189,7 +188,7 @@
 		by == r.news.Build && (r.news.Phase == OnTrial || r.news.Phase == Released)) {
 		return false // a forward-only key; its build may not be announced yet
 	}
-	if r.doubted(u) {
+	if r.doubted(u) && !r.alone {
 		// A trickle of commands that can be tried again tells whether it has come back.
 		return r.now >= u.nextTry && u.inFlight < 2 && r.word2(cmd, "repeats") != "at_most_once" && r.coldRoom(u)
 	}
@@ -326,8 +325,8 @@
 	r.consider()
 }
 
-// score sets the limit on open deliveries and finds out what an error speaks for. The limit guards
-// against overload where hundreds of relays load the same units; no answer is no sign of that.
+// score sets the limit on open deliveries, a guard against overload where hundreds of relays load the
+// same units (no answer is no sign of that), and finds out what an error speaks for.
 func (r *Relay) score(d *Delivery) {
 	slow, late := r.now > d.due || d.ending == TimedOut, r.now > d.late
 	switch {
@@ -414,9 +413,8 @@
 	}
 }
 
-// spares: a silent unit, or one that failed its own test while others of its build answer, speaks
-// for itself or its link. Guards the build against dead and broken units and links that lose
-// deliveries; hurts when a bad build shows at some units only.
+// spares: a silent unit, or one that failed its own test while others of its build answer, speaks for
+// itself or its link. Guards the build against both; hurts when a bad build shows at some units only.
 func (r *Relay) spares(d *Delivery, bad bool) bool {
 	return bad && d.To.heard < d.sent || d.To.aside && slices.ContainsFunc(r.units, func(o *Unit) bool {
 		return o != d.To && o.Build == d.build && !o.aside && len(o.acks) > 0
@@ -435,8 +433,7 @@
 	return r.share(stream) + margin
 }
 
-// answer gives an answer (0) or a flag (1) to the stream that counts wrong answers;
-// its margin shrinks with the share of wrong answers that is found.
+// answer gives an answer (0) or a flag (1) to the stream of flags.
 func (r *Relay) answer(build uint16, x float64) {
 	j, last := r.judged, len(r.opTypes)
 	switch {
@@ -486,7 +483,6 @@
 	}
 }
 
-// see gives one outcome to a stream of the judged build: all, one op type, flags, slowness.
 func (r *Relay) see(which int, x, b float64) {
 	j := r.judged
 	s := &j.streams[which]
@@ -551,14 +547,17 @@
 	}
 	r.figure()
 	r.acks, r.asked = recent(r.acks, now-rateSpan), recent(r.asked, now-rateSpan)
-	trial := 0.0
+	trial, doubted := 0.0, 0
 	r.whole = 0
 	for _, u := range r.units {
-		r.whole += r.warmth(u)
+		if r.whole += r.warmth(u); r.doubted(u) {
+			doubted++
+		}
 		if r.onTrial(u.Build) {
 			trial += r.warmth(u)
 		}
 	}
+	r.alone = 8*doubted >= 7*len(r.units) // a trouble of nearly all is this relay's own, such as a stall
 	r.perUnit = float64(len(r.acks)) * float64(Second) / float64(rateSpan) / max(r.whole, 1)
 	r.near = nearLeast + len(r.asked)*int(r.target)/int(rateSpan)
 	// A cap is told before its machines have come and warmed. Until then trial sends keep to the
@@ -678,7 +677,8 @@
 	}
 	// A fleet much slower than before the trial holds the vote too: it may be the build's doing.
 	wary := j.wary() || r.share(len(r.opTypes)+1) > j.before+excuse
-	timed := r.now-r.since >= voteAfter && j.streams[0].n >= leastTimed
+	least := max(1, min(leastTimed, leastSample/max(1, r.num("relays"))))
+	timed := r.now-r.since >= voteAfter && float64(j.streams[0].n) >= least
 	clocked := r.word("rollout.control") == "clocked"
 	switch {
 	case j.alarm != "":
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -477,3 +477,15 @@
 	b.take(redeliverable)
 	b.pass(5 * Second)
 }
+
+// A relay that stalls finds every unit silent at once; that is no news of the units.
+func TestStallOfTheRelayItself(t *testing.T) {
+	b := newBench(nil)
+	for i := range 3 {
+		b.unit(uint32(i), 1, 0)
+		b.take(atMostOnce)
+	}
+	b.now += Second
+	b.Alarm(b.now, 0)
+	check(t, "alone", b.alone, true)
+}
--- a/choice/host.go
+++ b/choice/host.go
@@ -164,6 +164,7 @@
 	opTypes  []map[string]any
 	now      Tick
 	born     Tick
+	alone    bool   // nearly every unit is in doubt
 	x, carry uint32 // chance
 
 	units   []*Unit     // those listed as ready, in this relay's own order, the nearest first
