--- a/choice/choice.go
+++ b/choice/choice.go
@@ -46,7 +46,7 @@
 	coldSpread  = 3           // deviations of chance left free in it
 	nearLeast   = 5           // units that a relay chooses from
 	demoted     = 0.25        // failure share of a unit that goes to the end of the order
-	tardy       = 0.5         // of what was due: an answer later than this says that units are overloaded
+	tardy       = 0.6         // of what was due: an answer later than this says that units are overloaded
 	rescuePart  = 0.04        // of what is acked: deliveries called off at silent units
 	limitLess   = 0.1         // part by which such an answer lowers them
 	limitMore   = 0.06        // and an earlier one raises them
