--- a/choice/choice.go
+++ b/choice/choice.go
@@ -45,7 +45,6 @@
 	coldPart    = 0.85        // of what the cold rule allows
 	coldSpread  = 3           // deviations of chance left free in it
 	nearLeast   = 5           // units that a relay chooses from
-	fewAcks     = 3           // and half of what was asked: with fewer acked, silence is not its unit's alone
 	demoted     = 0.25        // failure share of a unit that goes to the end of the order
 	tardy       = 0.6         // of what was due: an answer later than this says that units are overloaded
 	rescuePart  = 0.04        // of what is acked: deliveries called off at silent units
@@ -415,12 +414,9 @@
 }
 
 // spares: a silent unit, or one that failed its own test while others of its build answer, speaks for
-// itself or its link, while half of what was asked is acked. Hurts when a bad build shows at few units.
+// itself or its link. Guards the build against both; hurts when a bad build shows at some units only.
 func (r *Relay) spares(d *Delivery, bad bool) bool {
-	if bad && d.To.heard < d.sent && (r.news.Phase == Released || 2*len(r.acks)+fewAcks >= len(r.asked)) {
-		return true
-	}
-	return d.To.aside && slices.ContainsFunc(r.units, func(o *Unit) bool {
+	return bad && d.To.heard < d.sent || d.To.aside && slices.ContainsFunc(r.units, func(o *Unit) bool {
 		return o != d.To && o.Build == d.build && !o.aside && len(o.acks) > 0
 	})
 }
@@ -437,6 +433,7 @@
 	return r.share(stream) + margin
 }
 
+// answer gives an answer (0) or a flag (1) to the stream of flags.
 func (r *Relay) answer(build uint16, x float64) {
 	j, last := r.judged, len(r.opTypes)
 	switch {
@@ -602,6 +599,7 @@
 	r.host.Cancel(d)
 }
 
+// Listed takes the end of one piece of news of the list, or that a call failed.
 func (r *Relay) Listed(now Tick, ok bool) {
 	r.now = now
 	if ok {
