--- a/choice/choice.go
+++ b/choice/choice.go
@@ -336,8 +336,14 @@
 	case d.ending == Acked && r.open()+1 >= r.limit/2:
 		r.limit *= 1 + limitMore
 	}
+	if u := d.To; u.Start == d.since && d.ending < Cancelled {
+		if !d.marked {
+			r.weigh(u, late || d.ending != Acked)
+		}
+		u.paces = keep(u.paces, float64(r.now-d.sent)/float64(d.late-d.sent), keptUnit/4)
+	}
 	// An error of a command that is tried again waits for the next answer: an ack says that
-	// the unit or its build failed, an error at a second unit that the command itself did.
+	// its build failed, an error at a second unit that the command itself did.
 	// This guards against commands that fail anywhere; hurts where a build fails every unit's.
 	cmd := d.Cmd
 	switch before := cmd.suspect; {
@@ -351,22 +357,16 @@
 	case d.ending == Acked:
 		r.own, cmd.suspect = keep(r.own, 0, kept), nil
 		if before != nil {
-			r.count(before, false, false)
+			r.count(before, false)
 		}
 	}
-	r.count(d, slow, late)
+	r.count(d, slow)
 }
 
-// count gives the end of a delivery to its unit's test and its build's streams: an error or a
-// reset scores 1, an answer 0. Whether it took longer than its due counts in a stream of its own.
-func (r *Relay) count(d *Delivery, slow, late bool) {
-	u, failed := d.To, d.ending == Errored || d.ending == Reset
-	if u.Start == d.since && d.ending < Cancelled {
-		if !d.marked {
-			r.weigh(u, failed || late || d.ending != Acked)
-		}
-		u.paces = keep(u.paces, float64(r.now-d.sent)/float64(d.late-d.sent), keptUnit/4)
-	}
+// count gives the end of a delivery to its build's streams: an error or a reset scores 1, an
+// answer 0. Whether it took longer than its due counts in a stream of its own.
+func (r *Relay) count(d *Delivery, slow bool) {
+	failed := d.ending == Errored || d.ending == Reset
 	if !failed && d.ending != Acked && d.ending != TimedOut || r.spares(d, failed || slow) {
 		return // it was never looked at, or called off, or speaks for its unit alone
 	}
