--- /dev/null
+++ b/cmd/silvercove/config.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"silvercove/internal/gate"
+	"silvercove/internal/info"
+	"silvercove/internal/list"
+	"silvercove/internal/platform"
+)
+
+// told is what a relay is told at its start.
+type told struct {
+	name, listen, discovery, platform string
+	seed                              uint64
+	cores                             float64
+	memory                            int64 // bytes
+	sockets                           int
+	news                              gate.Stage
+	seq                               int64
+	known                             []gate.Host
+	settings                          map[string]any
+}
+
+// readTold reads the environment and the configuration that it names.
+func readTold(env func(string) string) (t told, err error) {
+	for name, to := range map[string]*string{"NODE_NAME": &t.name, "NODE_LISTEN": &t.listen,
+		"NODE_DISCOVERY": &t.discovery} {
+		if *to = env(name); *to == "" {
+			return t, fmt.Errorf("%s is not set", name)
+		}
+	}
+	for _, name := range []string{"NODE_LISTEN", "NODE_DISCOVERY"} {
+		if _, _, err := net.SplitHostPort(env(name)); err != nil {
+			return t, fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	path := env("NODE_CONFIG")
+	if path == "" {
+		return t, fmt.Errorf("NODE_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return t, fmt.Errorf("NODE_CONFIG: %w", err)
+	}
+	if err := t.read(text); err != nil {
+		return t, fmt.Errorf("NODE_CONFIG %s: %w", path, err)
+	}
+	return t, nil
+}
+
+func (t *told) read(text []byte) error {
+	var c struct {
+		Seed   string
+		Limits struct {
+			Cores    float64
+			MemoryMB int64 `json:"memory_mb"`
+			Sockets  int
+		}
+		Release struct {
+			Address string
+			News    json.RawMessage
+		} `json:"release_api"`
+		Known    json.RawMessage
+		Settings json.RawMessage
+	}
+	if err := json.Unmarshal(text, &c); err != nil {
+		return err
+	}
+	var err error
+	if t.seed, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
+		return fmt.Errorf("seed: %w", err)
+	}
+	t.cores, t.memory, t.sockets = c.Limits.Cores, c.Limits.MemoryMB<<20, c.Limits.Sockets
+	if t.cores <= 0 || t.memory <= 0 || t.sockets < leastSockets {
+		return fmt.Errorf("limits: cores %v, memory_mb %d, sockets %d (%d at the least)",
+			t.cores, c.Limits.MemoryMB, t.sockets, leastSockets)
+	}
+	t.platform = c.Release.Address
+	if _, _, err := net.SplitHostPort(t.platform); err != nil {
+		return fmt.Errorf("release_api.address: %w", err)
+	}
+	if t.news, err = platform.ReadStage(c.Release.News); err != nil {
+		return fmt.Errorf("release_api.news: %w", err)
+	}
+	if t.seq, _, t.known, err = list.Read(c.Known); err != nil {
+		return fmt.Errorf("known: %w", err)
+	}
+	t.settings, err = info.Read(c.Settings)
+	return err
+}
--- /dev/null
+++ b/cmd/silvercove/main.go
@@ -0,0 +1,153 @@
+// Command silvercove is one relay: it takes commands from clients, has the decision module choose
+// what becomes of each, and speaks with units, the list of units and the platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"silvercove/internal/clients"
+	"silvercove/internal/gate"
+	"silvercove/internal/link"
+	"silvercove/internal/list"
+	"silvercove/internal/platform"
+	"silvercove/internal/units"
+)
+
+// How the limits are shared out.
+const (
+	otherSockets = 24 // standard files, the poller, the listener, list and platform
+	leastSockets = 3 * otherSockets
+	handOver     = 500 * time.Millisecond // after SIGTERM, until no new connections come
+)
+
+func main() {
+	t, err := readTold(os.Getenv)
+	if err == nil {
+		err = run(t)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "silvercove:", err)
+		os.Exit(1)
+	}
+}
+
+// relay is the parts of the program.
+type relay struct {
+	log   zerolog.Logger
+	room  *link.Room
+	gate  *gate.Gate
+	pools *units.Pools
+	front *clients.Front
+	watch *list.Watch
+	desk  *platform.Desk
+}
+
+func run(t told) error {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(t.cores))))
+	debug.SetMemoryLimit(t.memory * 3 / 4)
+	r := build(t)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return r.gate.Tick(ctx) })
+	group.Go(func() error { return r.pools.Run(ctx) })
+	group.Go(func() error { return r.watch.Run(ctx, r.gate, t.settings["discovery"] != "subscribe") })
+	group.Go(func() error { return r.desk.Run(ctx, r.gate) })
+	listener, err := net.Listen("tcp", t.listen) // now it is ready to serve
+	if err != nil {
+		return err
+	}
+	group.Go(func() error {
+		defer cancel() // the rest is needed as long as there are sessions
+		return r.front.Serve(listener)
+	})
+	group.Go(func() error {
+		for {
+			select {
+			case s := <-signals:
+				if s == syscall.SIGUSR1 {
+					r.print("counters")
+					continue
+				}
+				r.log.Info().Str("signal", s.String()).Msg("stopping")
+				time.Sleep(handOver)
+				r.front.Wind()
+				return listener.(*net.TCPListener).SetDeadline(time.Now().Add(handOver / 10))
+			case <-ctx.Done():
+				listener.Close()
+				return nil
+			}
+		}
+	})
+	r.log.Info().Str("name", t.name).Str("listen", t.listen).Int("units", len(t.known)).Msg("serving")
+	err = group.Wait()
+	r.print("stopped")
+	return err
+}
+
+// build puts the parts together and hands the module what is known at the start.
+func build(t told) *relay {
+	r := &relay{log: zerolog.New(os.Stderr).With().Timestamp().Logger()}
+	say := func(text string) { r.log.Info().Msg(text) }
+	span := func(name string) time.Duration {
+		s, _ := t.settings[name].(float64)
+		return time.Duration(s * float64(time.Second))
+	}
+	timeout := time.Second // of a client: the longest command timeout
+	types, _ := t.settings["op_types"].([]map[string]any)
+	for _, op := range types {
+		s, _ := op["command_timeout"].(float64)
+		timeout = max(timeout, time.Duration(s*float64(time.Second)))
+	}
+	calls := max(time.Second, span("rollout.vote_wait"))
+	r.room = link.NewRoom(t.memory / 2)
+	r.watch = list.New(t.discovery, t.seq, span("rules.ask_every"), calls, r.room, say)
+	r.desk = platform.New(t.platform, calls, r.room, say)
+	r.gate = gate.New(t.seed, t.settings, gate.Hands{
+		Vote: r.desk.Vote, Watch: r.watch.On, Fetch: r.watch.Fetch, Log: say,
+		Probe:     func(u gate.Unit) { r.pools.Probe(u) },
+		CloseIdle: func(name string) { r.pools.CloseIdle(name) },
+	})
+	atUnits := (t.sockets - otherSockets) / 3
+	r.pools = units.New(r.room, atUnits, span("limits.connect_timeout"), span("limits.idle_close"), r.gate)
+	r.front = clients.New(r.gate, r.pools, r.room, t.sockets-otherSockets-atUnits, timeout)
+	r.gate.List(true, t.known)
+	r.gate.Told(t.news)
+	return r
+}
+
+// print writes the counters.
+func (r *relay) print(why string) {
+	c := r.gate.Snapshot()
+	for _, op := range c.Ops {
+		r.log.Info().Str("op_type", op.Name).Int64("taken", op.Taken).Int64("acked", op.Acked).
+			Int64("nacked", op.Nacked).Int64("failed", op.Failed).Int64("left", op.Left).Msg(why)
+	}
+	set, held := r.room.InUse()
+	open, idle := r.pools.InUse()
+	var use syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &use)
+	r.log.Info().Str("gate", fmt.Sprintf("%+v", c)).
+		Int64("room_set_aside", set).Int64("room_held", held).Int("unit_connections", open).Int("idle", idle).
+		Int64("opened", r.pools.Opened.Load()).Int64("reused", r.pools.Reused.Load()).Int64("connect_failed", r.pools.Failed.Load()).
+		Int("sessions", r.front.InUse()).Int64("accepted", r.front.Accepted.Load()).
+		Int64("malformed", r.front.Malformed.Load()).Int64("crowded", r.front.Crowded.Load()).
+		Int64("list_answers", r.watch.Answers.Load()).Int64("list_failures", r.watch.Failures.Load()).
+		Int64("platform_lines", r.desk.Lines.Load()).Int64("platform_streams", r.desk.Streams.Load()).
+		Int64("cpu_ms", (use.Utime.Nano()+use.Stime.Nano())/1e6).Int64("peak_rss_kb", use.Maxrss).Msg(why)
+}
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -12,6 +12,7 @@
 	"slices"
 
 	"silvercove/choice"
+	"silvercove/internal/info"
 )
 
 // Codes of the records that come in.
@@ -259,7 +260,7 @@
 	if r.err != nil {
 		return nil
 	}
-	settings, err := readInfo(text)
+	settings, err := info.Read(text)
 	if err != nil {
 		return err
 	}
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -9,9 +9,10 @@
 	"testing"
 
 	"silvercove/choice"
+	"silvercove/internal/info"
 )
 
-const info = `{"balancers": 1, "discovery": "automatic", "new_key": {"deep": [1, {"x": null}]},
+const settings = `{"balancers": 1, "discovery": "automatic", "new_key": {"deep": [1, {"x": null}]},
  "grades": [{"name": "a", "semantics": "read_like", "on_time": 1.0, "deadline": 4.0}],
  "family_info": {"most_shares": [0.17, 1.0], "counted_by": "per_lane"},
  "limits": {"send_cap": 3}, "rules": {"cold": 4.0, "cold_from": 0.3}}`
@@ -71,8 +72,8 @@
 
 func TestExampleRecords(t *testing.T) {
 	var out bytes.Buffer
-	in := frame(t, born(3, info), catalog, roster, promotion, submit, alarm, digest, disputed, finished)
-	in = append(in, frame(t, born(5, info), strings.Replace(left, "05 05", "05 03", 1), left)...)
+	in := frame(t, born(3, settings), catalog, roster, promotion, submit, alarm, digest, disputed, finished)
+	in = append(in, frame(t, born(5, settings), strings.Replace(left, "05 05", "05 03", 1), left)...)
 	if err := Serve(bytes.NewReader(in), &out); err != nil {
 		t.Fatal(err)
 	}
@@ -117,7 +118,7 @@
 func TestPagesResolveInEventOrder(t *testing.T) {
 	s := &server{relays: map[uint32]*relay{}}
 	first := strings.Replace(catalog, "02000000", "01000000", 1)[:len("0d 00000000 02000000")+len("074a1203 0000 00 0000 01 0000803f 0000000000000000 00002442")]
-	if _, err := s.batch(frame(t, born(3, info), first, roster, catalog)[4:]); err != nil {
+	if _, err := s.batch(frame(t, born(3, settings), first, roster, catalog)[4:]); err != nil {
 		t.Fatal(err)
 	}
 	if n := len(s.relays[3].units); n != 1 {
@@ -134,7 +135,7 @@
 }
 
 func TestSettingsInOurWords(t *testing.T) {
-	m, err := readInfo([]byte(info))
+	m, err := info.Read([]byte(settings))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -150,7 +151,7 @@
 }
 
 func TestBadInput(t *testing.T) {
-	whole := frame(t, born(3, info), submit)
+	whole := frame(t, born(3, settings), submit)
 	nan := binary.LittleEndian.AppendUint64([]byte{12, 0, 0, 0}, math.Float64bits(math.NaN()))
 	for _, c := range []struct {
 		name string
@@ -163,11 +164,11 @@
 		{"unknown code", frame(t, "77"), "unknown code 119"},
 		{"unknown instance", frame(t, alarm), "unknown instance 3"},
 		{"count past the frame", frame(t, "0d 00000000 ffffffff"), "runs past"},
-		{"record past the frame", frame(t, born(3, info), "02 03000000 c491"), "runs past"},
-		{"more records than told", append(frame(t, born(3, info))[:12], 0, 0, 0, 0), "frame"},
-		{"list never given", frame(t, born(3, info), roster), "never given"},
+		{"record past the frame", frame(t, born(3, settings), "02 03000000 c491"), "runs past"},
+		{"more records than told", append(frame(t, born(3, settings))[:12], 0, 0, 0, 0), "frame"},
+		{"list never given", frame(t, born(3, settings), roster), "never given"},
 		{"list number", frame(t, "0d 10000000 00000000"), "list number 16"},
-		{"class", frame(t, born(3, info), strings.Replace(submit, "0e00 00", "0e00 07", 1)), "class 7 of 1"},
+		{"class", frame(t, born(3, settings), strings.Replace(submit, "0e00 00", "0e00 07", 1)), "class 7 of 1"},
 		{"settings", frame(t, born(3, "{")), "settings"},
 		{"settings without classes", frame(t, born(3, "{}")), "grades"},
 		{"clock", append(nan, 0, 0, 0, 0), "no time"},
--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,410 @@
+// Package gate is the module's blocking facade: Pick, Report and Tick, plus news of the list and of
+// the platform. It serialises all calls on the module, is the module's Host, and alone sees what the
+// module asks for. Nothing blocks while the gate is held.
+package gate
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"silvercove/choice"
+	"silvercove/internal/link"
+)
+
+// Hands are what the module acts with beside deliveries. None of them may block.
+type Hands struct {
+	Vote      func(Vote)
+	Watch     func(on bool)
+	Fetch     func()
+	Probe     func(unit Unit)
+	CloseIdle func(unit string)
+	Log       func(text string)
+}
+
+// Gate stands before one module.
+type Gate struct {
+	mu     sync.Mutex
+	module *choice.Relay
+	hands  Hands
+	opened time.Time   // both of its clocks were read at once
+	base   choice.Tick // Unix time then
+	alarms []alarm
+	rung   chan struct{} // the earliest alarm may have changed
+	doors  uint64
+	ops    map[string]int
+	names  map[string]map[string]int // zones, kinds and customers to their places in the settings
+	loads  []string
+	asks   bool // the list comes only when it is asked for
+	units  map[string]*unit
+	byDoor []*unit // in the order in which they were first listed
+	open   map[*choice.Command]*Command
+	out    map[*choice.Delivery]*Delivery
+	lag    lag
+	Counts Counts
+}
+
+type alarm struct {
+	at  choice.Tick
+	tag uint32
+}
+
+// unit is what the door knows of a unit of the list.
+type unit struct {
+	choice.Unit
+	name, dial string
+}
+
+// New makes the module and hands it its settings. The hands may be used from then on.
+func New(seed uint64, settings map[string]any, hands Hands) *Gate {
+	now := time.Now()
+	g := &Gate{hands: hands, opened: now, base: choice.Tick(now.UnixMicro() / 100), rung: make(chan struct{}, 1),
+		ops: map[string]int{}, units: map[string]*unit{}, open: map[*choice.Command]*Command{},
+		out: map[*choice.Delivery]*Delivery{}}
+	types, _ := settings["op_types"].([]map[string]any)
+	for i, t := range types {
+		name, _ := t["name"].(string)
+		g.ops[name] = i
+		g.Counts.Ops = append(g.Counts.Ops, OpCount{Name: name})
+	}
+	g.names = map[string]map[string]int{"zones": places(settings["zones"]), "kinds": places(settings["kinds"]),
+		"customers": places(settings["customers"])}
+	columns, _ := settings["load.figures"].([]any)
+	for _, c := range columns {
+		name, _ := c.(string)
+		g.loads = append(g.loads, name)
+	}
+	g.asks = settings["discovery"] == "subscribe"
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.module = choice.New(g, g.now(), seed, settings)
+	return g
+}
+
+// places numbers a list of names, or of objects that have one.
+func places(list any) map[string]int {
+	out := map[string]int{}
+	switch l := list.(type) {
+	case []any:
+		for i, v := range l {
+			name, _ := v.(string)
+			out[name] = i
+		}
+	case []map[string]any:
+		for i, m := range l {
+			name, _ := m["name"].(string)
+			out[name] = i
+		}
+	}
+	return out
+}
+
+// now is the module's time: Unix time as the clock had it at the start, going on evenly.
+func (g *Gate) now() choice.Tick { return g.tick(time.Now()) }
+
+func (g *Gate) tick(t time.Time) choice.Tick { return g.base + choice.Tick(t.Sub(g.opened)/tenth) }
+
+func (g *Gate) time(t choice.Tick) time.Time { return g.opened.Add(time.Duration(t-g.base) * tenth) }
+
+// tenth is one tick of the module.
+const tenth = time.Second / time.Duration(choice.Second)
+
+func spanOf(t choice.Tick) time.Duration { return time.Duration(t) * tenth }
+
+// Ask is one command as a client put it.
+type Ask struct {
+	OpType, Customer, Key string
+	Came                  time.Time     // when its last byte was read
+	Wait                  time.Duration // how long its client waits from then on
+	Work                  time.Duration // a guess, 0 for none
+	Write, Repeated       bool
+}
+
+// Command is one command that was taken.
+type Command struct {
+	module choice.Command
+	steps  chan Step // at most one delivery and one final answer are ever waiting
+	handed bool
+	op     int
+}
+
+// Step is what is to be done for a command: a delivery, or else a final answer.
+type Step struct {
+	Delivery *Delivery
+	Final    Final
+	ComeBack time.Duration
+}
+
+// Final is a final answer of the relay's own.
+type Final uint8
+
+// The final answers. Gone: the client has left, and nothing is owed.
+const (
+	None Final = iota
+	Nacked
+	Failed
+	Gone
+)
+
+// Unit is where a delivery goes. A connection to another address or process is not this unit's.
+type Unit struct {
+	Name, Dial string
+	Start      int64
+}
+
+// Delivery is one try at a unit. Its context ends when the relay stops waiting for it.
+type Delivery struct {
+	Unit
+	Context context.Context
+	StopAt  time.Time
+	module  *choice.Delivery
+	cancel  context.CancelFunc
+	sent    time.Time
+}
+
+// Take makes a command of what a client asked; false: the settings name no such op type.
+func (g *Gate) Take(a Ask) (*Command, bool) {
+	op, ok := g.ops[a.OpType]
+	if !ok {
+		return nil, false
+	}
+	return &Command{op: op, steps: make(chan Step, 4), module: choice.Command{OpType: op,
+		Customer: g.names["customers"][a.Customer], Key: keyOf(a.Key), NotAfter: g.tick(a.Came.Add(a.Wait)),
+		Work: choice.Tick((a.Work + tenth - 1) / tenth), Repeated: a.Repeated, Write: a.Write}}, true
+}
+
+// keyOf tells keys apart (FNV-1a); 0 is no key.
+func keyOf(name string) uint64 {
+	if name == "" {
+		return 0
+	}
+	h := uint64(14695981039346656037)
+	for i := range len(name) {
+		h = (h ^ uint64(name[i])) * 1099511628211
+	}
+	return max(1, h)
+}
+
+// Pick waits for the next thing to do for a command. The first call hands it to the module.
+func (g *Gate) Pick(c *Command) Step {
+	if !c.handed {
+		c.handed = true
+		g.mu.Lock()
+		g.doors++
+		c.module.Door = g.doors
+		g.open[&c.module] = c
+		g.Counts.Ops[c.op].Taken++
+		g.module.Command(g.now(), &c.module)
+		g.mu.Unlock()
+	}
+	return <-c.steps
+}
+
+// Report tells how a delivery ended: with a SQLSTATE, or without an answer.
+func (g *Gate) Report(d *Delivery, state string, end link.End, load []float64) (acked bool) {
+	d.cancel()
+	ending := Outcome(state, end)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.open[d.module.Cmd]
+	delete(g.out, d.module)
+	g.Counts.Endings[ending]++
+	acked = ending == choice.Acked
+	if acked && c != nil {
+		g.Counts.Ops[c.op].Acked++
+		delete(g.open, d.module.Cmd)
+	}
+	now := g.now()
+	g.module.Outcome(now, d.module, ending, max(0, now-g.tick(d.sent)), acked || c == nil, load)
+	return acked
+}
+
+// Leave tells that a command's client has gone. Pick returns Gone then.
+func (g *Gate) Leave(c *Command) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.open[&c.module] == nil {
+		return
+	}
+	delete(g.open, &c.module)
+	g.Counts.Ops[c.op].Left++
+	g.module.Left(g.now(), &c.module)
+	c.steps <- Step{Final: Gone}
+}
+
+// Figures are the names of the values of a load report, in the settings' order.
+func (g *Gate) Figures() []string { return g.loads }
+
+// Tick rings the module's alarms until the context ends.
+func (g *Gate) Tick(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-g.rung:
+		case <-timer.C:
+		}
+		timer.Reset(g.ring())
+	}
+}
+
+// ring calls the alarms that are due and tells how long it is until the next.
+func (g *Gate) ring() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for {
+		next := -1
+		for i, a := range g.alarms {
+			if next < 0 || a.at < g.alarms[next].at {
+				next = i
+			}
+		}
+		if next < 0 {
+			return time.Hour
+		}
+		a, now := g.alarms[next], g.now()
+		if a.at > now {
+			return time.Until(g.time(a.at))
+		}
+		g.alarms = append(g.alarms[:next], g.alarms[next+1:]...)
+		g.lag.add(spanOf(now - a.at))
+		before := time.Now()
+		g.module.Alarm(now, a.tag)
+		g.lag.busy(time.Since(before))
+	}
+}
+
+// What follows is the module's Host. All of it runs while the gate is held.
+
+// Deliver hands a delivery to whoever waits in Pick.
+func (g *Gate) Deliver(d *choice.Delivery, stopAt choice.Tick) {
+	c, u := g.open[d.Cmd], g.byDoor[d.To.Door]
+	at := g.time(stopAt)
+	ctx, cancel := context.WithDeadline(context.Background(), at)
+	out := &Delivery{Unit: u.place(), Context: ctx, StopAt: at, module: d, cancel: cancel, sent: time.Now()}
+	g.out[d] = out
+	g.Counts.Delivered++
+	c.steps <- Step{Delivery: out}
+}
+
+func (u *unit) place() Unit { return Unit{u.name, u.dial, int64(u.Start)} }
+
+// Nack ends a command with the promise that trying again is harmless.
+func (g *Gate) Nack(cmd *choice.Command, comeBack choice.Tick) {
+	g.final(cmd, Step{Final: Nacked, ComeBack: spanOf(comeBack)})
+}
+
+// Fail ends a command without any promise.
+func (g *Gate) Fail(cmd *choice.Command) { g.final(cmd, Step{Final: Failed}) }
+
+func (g *Gate) final(cmd *choice.Command, s Step) {
+	c := g.open[cmd]
+	if c == nil {
+		return // its client has left
+	}
+	delete(g.open, cmd)
+	if s.Final == Nacked {
+		g.Counts.Ops[c.op].Nacked++
+	} else {
+		g.Counts.Ops[c.op].Failed++
+	}
+	c.steps <- s
+}
+
+// Cancel stops waiting for a delivery.
+func (g *Gate) Cancel(d *choice.Delivery) {
+	if out := g.out[d]; out != nil {
+		out.cancel()
+	}
+}
+
+// WakeAt sets an alarm.
+func (g *Gate) WakeAt(at choice.Tick, tag uint32) {
+	g.alarms = append(g.alarms, alarm{at, tag})
+	select {
+	case g.rung <- struct{}{}:
+	default: // it is to look anyhow
+	}
+}
+
+// Probe checks a unit.
+func (g *Gate) Probe(u *choice.Unit) { g.hands.Probe(g.byDoor[u.Door].place()) }
+
+// CloseIdle closes idle connections to a unit.
+func (g *Gate) CloseIdle(u *choice.Unit) { g.hands.CloseIdle(g.byDoor[u.Door].name) }
+
+// Tell is not called where the settings allow no messages, which is everywhere so far.
+func (g *Gate) Tell(uint32, []byte) {}
+
+// Log writes a line for the people on call.
+func (g *Gate) Log(text string) { g.hands.Log(text) }
+
+// Watch asks for changes of the list.
+func (g *Gate) Watch(on bool) { g.hands.Watch(on) }
+
+// Fetch asks for the whole list once.
+func (g *Gate) Fetch() { g.hands.Fetch() }
+
+// Vote casts a vote.
+func (g *Gate) Vote(build uint16, stage int, verdict choice.Verdict) {
+	g.Counts.Votes++
+	g.hands.Vote(Vote{build, stage, verdicts[verdict]})
+}
+
+// lag keeps what the wake-ups and the module's calls cost.
+type lag struct {
+	n                  int64
+	late, worst        time.Duration
+	spent, longestCall time.Duration
+}
+
+func (l *lag) add(late time.Duration) {
+	l.n++
+	l.late += late
+	l.worst = max(l.worst, late)
+}
+
+func (l *lag) busy(took time.Duration) {
+	l.spent += took
+	l.longestCall = max(l.longestCall, took)
+}
+
+// OpCount counts the commands of one op type.
+type OpCount struct {
+	Name                               string
+	Taken, Acked, Nacked, Failed, Left int64
+}
+
+// Counts are what went through the gate since the start.
+type Counts struct {
+	Ops                     []OpCount
+	Endings                 [choice.Moot + 1]int64
+	VoteEndings             [choice.Moot + 1]int64
+	Delivered, Votes        int64
+	Lists, Stages, Tallies  int64
+	Flags, Open, Out, Units int64
+	Wakes                   int64
+	WakeLate, WakeWorst     time.Duration // on average, and the most
+	Alarm, AlarmWorst       time.Duration // what an alarm takes
+}
+
+// Snapshot copies the counts.
+func (g *Gate) Snapshot() Counts {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.Counts
+	c.Ops = append([]OpCount(nil), c.Ops...)
+	c.Open, c.Out, c.Units = int64(len(g.open)), int64(len(g.out)), int64(len(g.units))
+	n := time.Duration(max(1, g.lag.n))
+	c.Wakes, c.WakeLate, c.WakeWorst = g.lag.n, g.lag.late/n, g.lag.worst
+	c.Alarm, c.AlarmWorst = g.lag.spent/n, g.lag.longestCall
+	return c
+}
+
+// String words the counts in one line.
+func (c Counts) String() string {
+	return fmt.Sprintf("%+v", struct{ Counts }{c})
+}
--- /dev/null
+++ b/internal/gate/news.go
@@ -0,0 +1,156 @@
+package gate
+
+import (
+	"fmt"
+	"time"
+
+	"silvercove/choice"
+	"silvercove/internal/link"
+)
+
+// Host is one entry of the list of units.
+type Host struct {
+	Name, Dial, Zone, Kind string
+	Cell                   int
+	State                  string
+	Nominal                float64
+	BornMs                 int64 // Unix time, 0 for long ago
+	Build                  uint16
+}
+
+var states = map[string]choice.State{"up": choice.Ready, "draining": choice.Draining, "removed": choice.Gone}
+
+// Fits tells whether an entry makes sense.
+func (h Host) Fits() bool {
+	_, ok := states[h.State]
+	return ok && h.Name != "" && h.Dial != "" && h.BornMs >= 0
+}
+
+// List takes the whole list, or changes of it.
+func (g *Gate) List(whole bool, hosts []Host) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	g.Counts.Lists++
+	named := map[string]bool{}
+	for _, h := range hosts {
+		u := g.units[h.Name]
+		if u == nil {
+			u = &unit{name: h.Name}
+			u.Door = uint32(len(g.byDoor))
+			g.units[h.Name], g.byDoor = u, append(g.byDoor, u)
+			g.hands.Log(fmt.Sprintf("unit %d is %s", u.Door, h.Name))
+		}
+		named[h.Name] = true
+		u.dial = h.Dial
+		g.listed(now, u, choice.Listing{Zone: g.names["zones"][h.Zone], Kind: g.names["kinds"][h.Kind],
+			Cell: h.Cell, State: states[h.State], Nominal: h.Nominal, Start: choice.Tick(h.BornMs * 10), Build: h.Build})
+	}
+	for _, u := range g.byDoor { // one that a whole list leaves out has gone
+		if whole && !named[u.name] && u.State != choice.Gone {
+			is := u.Listing
+			is.State = choice.Gone
+			g.listed(now, u, is)
+		}
+	}
+	g.module.Listed(now, true)
+}
+
+func (g *Gate) listed(now choice.Tick, u *unit, is choice.Listing) {
+	if is.State != choice.Ready || is.Start != u.Start || is.Build != u.Build {
+		g.hands.CloseIdle(u.name) // its connections are of no more use
+	}
+	g.module.UnitListed(now, &u.Unit, is)
+}
+
+// ListFailed tells that a call that the module asked for came to nothing.
+func (g *Gate) ListFailed() {
+	if !g.asks {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.module.Listed(g.now(), false)
+}
+
+// Stage is what the platform says of the newest build.
+type Stage struct {
+	Build uint16
+	Stage int
+	State string
+	Cap   float64
+	Age   time.Duration
+}
+
+var phases = map[string]choice.Phase{"testing": choice.OnTrial, "recalling": choice.RollingBack,
+	"live": choice.Released, "recalled": choice.Withdrawn}
+
+// Fits tells whether the news makes sense.
+func (s Stage) Fits() bool {
+	_, ok := phases[s.State]
+	return ok && s.Stage >= 0 && s.Cap >= 0 && s.Cap <= 1 && s.Age >= 0
+}
+
+func (s Stage) news() choice.StageNews {
+	return choice.StageNews{Build: s.Build, Stage: s.Stage, Phase: phases[s.State], Cap: s.Cap,
+		Age: choice.Tick(s.Age / tenth), Ending: choice.Acked}
+}
+
+// Told takes news of the newest build.
+func (g *Gate) Told(s Stage) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.Counts.Stages++
+	g.module.Stage(g.now(), s.news())
+}
+
+// Vote is one vote as the platform's page words it.
+type Vote struct {
+	Build   uint16
+	Stage   int
+	Verdict string
+}
+
+var verdicts = map[choice.Verdict]string{choice.NoVote: "WITHDRAW", choice.GoOn: "PROCEED", choice.Hold: "HOLD",
+	choice.GoBack: "ROLLBACK"}
+
+// Voted takes the answer to a vote: an HTTP status and what it tells, or no answer (status 0).
+func (g *Gate) Voted(status int, s Stage, end link.End) {
+	news := s.news()
+	news.Answer, news.Ending = true, VoteOutcome(status, end)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.Counts.VoteEndings[news.Ending]++
+	g.module.Stage(g.now(), news)
+}
+
+// Tally takes what the platform counted at a build.
+func (g *Gate) Tally(build uint16, opType string, many, failed int, took, age time.Duration) {
+	op, ok := g.ops[opType]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.Counts.Tallies++
+	if ok {
+		g.module.Tally(g.now(), build, op, many, failed, choice.Tick(took/tenth), choice.Tick(age/tenth))
+	}
+}
+
+// Flag takes that an answer of a unit was wrong.
+func (g *Gate) Flag(name, opType string, age time.Duration) {
+	op, ok := g.ops[opType]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.Counts.Flags++
+	if u := g.units[name]; ok && u != nil {
+		g.module.WrongAnswer(g.now(), &u.Unit, op, choice.Tick(age/tenth))
+	}
+}
+
+// Probed takes how a probe of a unit ended.
+func (g *Gate) Probed(name, state string, end link.End, took time.Duration, load []float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if u := g.units[name]; u != nil {
+		g.module.Probed(g.now(), &u.Unit, Outcome(state, end), choice.Tick(took/tenth), load)
+	}
+}
--- a/internal/drill/info.go
+++ b/internal/info/info.go
@@ -1,4 +1,6 @@
-package drill
+// Package info turns the settings object that a relay is given into a plain map in the
+// project's words. The adapter and the real relay share it.
+package info
 
 import (
 	"encoding/json"
@@ -28,9 +30,9 @@
 	"per_lane": "op_type",
 }
 
-// readInfo turns the wire's settings into a plain map in our words. The members of
+// Read turns the wire's settings into a plain map in our words. The members of
 // an object get its name before theirs; a list of objects stays a list of maps.
-func readInfo(text []byte) (map[string]any, error) {
+func Read(text []byte) (map[string]any, error) {
 	var raw map[string]any
 	if err := json.Unmarshal(text, &raw); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
--- /dev/null
+++ b/internal/link/link.go
@@ -0,0 +1,248 @@
+// Package link owns one connection: a ring buffer a direction, its deadlines, and End, the one
+// type of every way in which it can end.
+package link
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// How tells why a connection ended.
+type How uint8
+
+// The ways in which a connection can end.
+const (
+	Open      How = iota // it has not
+	Refused              // it was refused, or there was nothing to open it with
+	NotUp                // it was not up in its time
+	Closed               // the other side closed it
+	Broke                // it was reset or failed otherwise
+	Late                 // its time limit has passed
+	CalledOff            // this side gave it up
+	Malformed            // what came makes no sense
+	Overlong             // what came is longer than is allowed
+	Finished             // this side was through with it
+	Hows                 // how many there are
+)
+
+var hows = [Hows]string{"open", "refused", "not up in time", "closed by the other side", "broken",
+	"past its time limit", "called off", "malformed", "overlong", "finished"}
+
+func (h How) String() string { return hows[min(h, Hows-1)] }
+
+// End is one way in which a connection ended. Sent tells whether the last byte of what was last
+// to be written had been written by then: if not, the other side has not got it whole.
+type End struct {
+	How  How
+	Sent bool
+}
+
+// Over tells whether it has ended at all.
+func (e End) Over() bool { return e.How != Open }
+
+// Link is one connection. One goroutine at a time may use it; Interrupt may come from any.
+type Link struct {
+	conn    net.Conn // a TCP connection, for what the kernel tells of it
+	in, out ring
+	sent    bool
+	gone    context.Context // whose end calls the work on this connection off
+	stop    func() bool
+}
+
+// New takes over a connection. Its buffers come out of room.
+func New(conn net.Conn, room *Room) *Link {
+	return &Link{conn: conn, in: ring{room: room}, out: ring{room: room}, gone: context.Background()}
+}
+
+// Dial opens a connection within a time limit.
+func Dial(ctx context.Context, address string, limit time.Duration, room *Room) (*Link, End) {
+	ctx2, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx2, "tcp", address)
+	switch {
+	case err == nil:
+		return New(conn, room), End{}
+	case ctx.Err() != nil:
+		return nil, End{How: whyOver(ctx)}
+	case ctx2.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, End{How: NotUp}
+	}
+	return nil, End{How: Refused}
+}
+
+func whyOver(ctx context.Context) How {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return Late
+	}
+	return CalledOff
+}
+
+// Within binds what is done from now on to a context: past its deadline, or once it is cancelled,
+// reading and writing end. Release undoes that.
+func (l *Link) Within(ctx context.Context) {
+	l.Release()
+	l.gone = ctx
+	at, _ := ctx.Deadline()
+	l.conn.SetDeadline(at)
+	l.stop = context.AfterFunc(ctx, l.Interrupt)
+}
+
+// Release unbinds the connection from its context. If the context ended meanwhile, the deadline
+// that this set may come late, so such a connection is only good for closing.
+func (l *Link) Release() (whole bool) {
+	whole = l.stop == nil || l.stop()
+	l.gone, l.stop = context.Background(), nil
+	if whole {
+		l.conn.SetDeadline(time.Time{})
+	}
+	return whole
+}
+
+// Interrupt ends a blocked read or write.
+func (l *Link) Interrupt() { l.conn.SetDeadline(time.Unix(1, 0)) }
+
+// Resume allows reading and writing again after Interrupt.
+func (l *Link) Resume() { l.conn.SetDeadline(time.Time{}) }
+
+// Until sets a time limit of its own.
+func (l *Link) Until(at time.Time) { l.conn.SetDeadline(at) }
+
+// Fill waits for more bytes. The ring has space for at least want bytes then.
+func (l *Link) Fill(want int) End {
+	l.in.grow(max(want, l.in.n+1))
+	n, err := l.conn.Read(l.in.space())
+	l.in.n += n
+	if n > 0 {
+		return End{}
+	}
+	return l.ended(err)
+}
+
+// Bytes are the bytes that have come, in one stretch, until the next Fill.
+func (l *Link) Bytes() []byte { return l.in.front() }
+
+// Drop takes bytes off the front.
+func (l *Link) Drop(n int) { l.in.drop(n) }
+
+// Put adds bytes to what is to be written.
+func (l *Link) Put(parts ...[]byte) {
+	n := l.out.n
+	for _, p := range parts {
+		n += len(p)
+	}
+	l.out.grow(n)
+	for _, p := range parts {
+		for len(p) > 0 {
+			k := copy(l.out.space(), p)
+			l.out.n += k
+			p = p[k:]
+		}
+	}
+}
+
+// Flush writes all that was put.
+func (l *Link) Flush() End {
+	l.sent = false
+	for l.out.n > 0 {
+		p := l.out.buf[l.out.at:min(l.out.at+l.out.n, len(l.out.buf))]
+		n, err := l.conn.Write(p)
+		l.out.drop(n)
+		if err != nil {
+			l.sent = l.out.n == 0
+			return l.ended(err)
+		}
+	}
+	l.out.free()
+	l.sent = true
+	return End{}
+}
+
+func (l *Link) ended(err error) End {
+	switch {
+	case err == nil:
+		return End{}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		if l.gone.Err() != nil {
+			return End{whyOver(l.gone), l.sent}
+		}
+		return End{Late, l.sent}
+	case errors.Is(err, io.EOF):
+		return End{Closed, l.sent}
+	}
+	return End{Broke, l.sent}
+}
+
+// Await waits until the other side has closed the connection, whatever is still to be read. It
+// ends early by Interrupt.
+func (l *Link) Await() (closed bool) {
+	raw, err := l.conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Read(func(fd uintptr) bool {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = err != nil || info.State != established
+		return closed
+	})
+	return closed
+}
+
+// established is the kernel's number for a connection that neither side has closed.
+const established = 1
+
+// Waited tells how long ago the last bytes came, read by now or not. It shows what this process
+// slept through.
+func (l *Link) Waited() time.Duration {
+	var age time.Duration
+	if raw, err := l.conn.(syscall.Conn).SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) {
+			if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+				age = time.Duration(info.Last_data_recv) * time.Millisecond
+			}
+		})
+	}
+	return age
+}
+
+// Quiet tells whether an idle connection is still up and nothing has come on it unasked.
+func (l *Link) Quiet() bool {
+	if l.in.n > 0 {
+		return false
+	}
+	raw, err := l.conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	var one [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, e := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = e == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// Rest gives back the buffers of a connection that nothing is expected on.
+func (l *Link) Rest() {
+	if l.in.n == 0 {
+		l.in.free()
+	}
+}
+
+// Close ends the connection.
+func (l *Link) Close() {
+	if l.stop != nil {
+		l.stop()
+	}
+	l.conn.Close()
+	l.in.free()
+	l.out.free()
+}
--- /dev/null
+++ b/internal/list/list.go
@@ -0,0 +1,206 @@
+// Package list keeps a watch on the list of units.
+package list
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"silvercove/internal/gate"
+	"silvercove/internal/http1"
+	"silvercove/internal/link"
+)
+
+// Page is the list, or changes of it, as discovery words them.
+type Page struct {
+	Seq   *int64 `json:"seq"`
+	Whole bool   `json:"whole"`
+	Hosts []struct {
+		Host  string  `json:"host"`
+		Dial  string  `json:"dial"`
+		Site  string  `json:"site"`
+		Class string  `json:"class"`
+		Block int     `json:"block"`
+		State string  `json:"health"`
+		Share float64 `json:"share"`
+		Born  int64   `json:"born_ms"`
+		Build uint16  `json:"image_id"`
+	} `json:"hosts"`
+}
+
+// Read reads a page.
+func Read(text []byte) (seq int64, whole bool, hosts []gate.Host, err error) {
+	var p Page
+	if err := json.Unmarshal(text, &p); err != nil {
+		return 0, false, nil, err
+	}
+	if p.Seq == nil || p.Hosts == nil {
+		return 0, false, nil, fmt.Errorf("no seq or no hosts")
+	}
+	for _, h := range p.Hosts {
+		host := gate.Host{Name: h.Host, Dial: h.Dial, Zone: h.Site, Kind: h.Class, Cell: h.Block, State: h.State,
+			Nominal: h.Share, BornMs: h.Born, Build: h.Build}
+		if !host.Fits() {
+			return 0, false, nil, fmt.Errorf("host %q makes no sense", h.Host)
+		}
+		hosts = append(hosts, host)
+	}
+	return *p.Seq, p.Whole, hosts, nil
+}
+
+// Watch follows the list.
+type Watch struct {
+	gate    *gate.Gate
+	address string
+	seq     int64
+	wait    time.Duration // that a call may wait for something newer
+	limit   time.Duration // beyond that
+	room    *link.Room
+	log     func(string)
+	on      chan bool // whether to watch; the last word counts
+	fetch   chan struct{}
+	started bool
+
+	Answers, Failures atomic.Int64
+}
+
+// New makes a watch that goes on from a version. A call has limit more time than it may wait.
+func New(address string, seq int64, wait, limit time.Duration, room *link.Room, log func(string)) *Watch {
+	return &Watch{address: address, seq: seq, wait: wait, limit: limit, room: room, log: log,
+		on: make(chan bool, 1), fetch: make(chan struct{}, 1)}
+}
+
+// On starts or stops the watch.
+func (w *Watch) On(on bool) {
+	for {
+		select {
+		case w.on <- on:
+			return
+		default:
+		}
+		select {
+		case <-w.on:
+		default:
+		}
+	}
+}
+
+// Fetch asks for the whole list once.
+func (w *Watch) Fetch() {
+	select {
+	case w.fetch <- struct{}{}:
+	default: // it is to come anyhow
+	}
+}
+
+// Run watches until the context ends. Without a watch it waits for Fetch.
+func (w *Watch) Run(ctx context.Context, g *gate.Gate, on bool) error {
+	w.gate = g
+	var l *link.Link
+	defer func() {
+		if l != nil {
+			l.Close()
+		}
+	}()
+	for ctx.Err() == nil {
+		whole := false
+		select {
+		case on = <-w.on:
+			continue
+		case <-w.fetch:
+			whole = true
+		default:
+			if !on {
+				select {
+				case on = <-w.on:
+				case <-w.fetch:
+					w.Fetch()
+				case <-ctx.Done():
+				}
+				continue
+			}
+		}
+		var end link.End
+		if l, end = w.call(ctx, l, whole); end.Over() {
+			w.Failures.Add(1)
+			w.log(fmt.Sprintf("list: call failed: %s", end.How))
+			w.gate.ListFailed()
+			w.pause(ctx)
+		}
+	}
+	return nil
+}
+
+// pause keeps a dead agent from being asked without end.
+func (w *Watch) pause(ctx context.Context) {
+	select {
+	case <-time.After(w.limit / 8):
+	case <-ctx.Done():
+	}
+}
+
+// call makes one call, on the connection that is open or on a new one, and takes its answer.
+func (w *Watch) call(ctx context.Context, l *link.Link, whole bool) (*link.Link, link.End) {
+	path, wait := "/v1/servers", time.Duration(0)
+	if !whole {
+		wait = w.wait
+		path = fmt.Sprintf("/v1/servers?since=%d&timeout_ms=%d", w.seq, wait.Milliseconds())
+	}
+	limited, cancel := context.WithTimeout(ctx, wait+w.limit)
+	defer cancel()
+	if l == nil || !l.Quiet() {
+		if l != nil {
+			l.Close()
+		}
+		var end link.End
+		if l, end = link.Dial(limited, w.address, w.limit, w.room); end.Over() {
+			return nil, end
+		}
+	}
+	l.Within(limited)
+	end := w.take(l, path)
+	if !l.Release() || end.Over() {
+		l.Close()
+		l = nil
+	}
+	if end.How == link.Finished {
+		end = link.End{}
+	}
+	return l, end
+}
+
+func (w *Watch) take(l *link.Link, path string) link.End {
+	l.Put(http1.Request("GET", path, w.address, ""))
+	if end := l.Flush(); end.Over() {
+		return end
+	}
+	var a http1.Answer
+	var body []byte
+	for {
+		used, out, err := a.Read(l.Bytes(), body)
+		l.Drop(used)
+		switch body = out; {
+		case err == http1.ErrOverlong:
+			return link.End{How: link.Overlong, Sent: true}
+		case err != nil, a.Done && a.Status != 200:
+			return link.End{How: link.Malformed, Sent: true}
+		case a.Done:
+			seq, whole, hosts, err := Read(body)
+			if err != nil {
+				return link.End{How: link.Malformed, Sent: true}
+			}
+			w.seq = seq
+			w.Answers.Add(1)
+			w.gate.List(whole, hosts)
+			if a.Close {
+				return link.End{How: link.Finished, Sent: true}
+			}
+			return link.End{}
+		}
+		if end := l.Fill(0); end.Over() {
+			return end
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,241 @@
+// Package platform follows the platform's changes and casts votes there.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"silvercove/internal/gate"
+	"silvercove/internal/http1"
+	"silvercove/internal/link"
+)
+
+const mostLine = 64 << 10 // of the stream of changes
+
+// state is where the newest build stands.
+type state struct {
+	Revision *uint16
+	Wave     int
+	State    string
+	MaxShare float64
+	AgeMs    float64
+}
+
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// ReadStage reads where the newest build stands.
+func ReadStage(text []byte) (gate.Stage, error) {
+	var s state
+	if err := json.Unmarshal(text, &s); err != nil {
+		return gate.Stage{}, err
+	}
+	if s.Revision == nil {
+		return gate.Stage{}, fmt.Errorf("no Revision")
+	}
+	out := gate.Stage{Build: *s.Revision, Stage: s.Wave, State: s.State, Cap: s.MaxShare, Age: milliseconds(s.AgeMs)}
+	if !out.Fits() {
+		return gate.Stage{}, fmt.Errorf("the state %q with share %v makes no sense", s.State, s.MaxShare)
+	}
+	return out, nil
+}
+
+// Desk speaks with the platform.
+type Desk struct {
+	gate    *gate.Gate
+	address string
+	limit   time.Duration // of a call
+	room    *link.Room
+	log     func(string)
+	votes   chan gate.Vote
+
+	Lines, Streams, Dropped atomic.Int64
+}
+
+// New makes a desk. A call may take as long as limit.
+func New(address string, limit time.Duration, room *link.Room, log func(string)) *Desk {
+	return &Desk{address: address, limit: limit, room: room, log: log, votes: make(chan gate.Vote, 4)}
+}
+
+// Vote casts a vote as soon as those before it have been answered. One too many is dropped: the
+// module says it again.
+func (d *Desk) Vote(v gate.Vote) {
+	select {
+	case d.votes <- v:
+	default:
+		d.Dropped.Add(1)
+	}
+}
+
+// Run follows the changes and casts votes until the context ends.
+func (d *Desk) Run(ctx context.Context, g *gate.Gate) error {
+	d.gate = g
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return d.follow(ctx) })
+	group.Go(func() error { return d.vote(ctx) })
+	return group.Wait()
+}
+
+func (d *Desk) vote(ctx context.Context) error {
+	for {
+		select {
+		case v := <-d.votes:
+			status, stage, end := d.cast(ctx, v)
+			d.gate.Voted(status, stage, end)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// cast makes one call on a connection of its own, so that none stands idle until it is closed.
+func (d *Desk) cast(ctx context.Context, v gate.Vote) (status int, stage gate.Stage, end link.End) {
+	limited, cancel := context.WithTimeout(ctx, d.limit)
+	defer cancel()
+	l, end := link.Dial(limited, d.address, d.limit, d.room)
+	if end.Over() {
+		return 0, stage, end
+	}
+	defer l.Close()
+	l.Within(limited)
+	body, _ := json.Marshal(struct {
+		Revision uint16
+		Wave     int
+		Decision string
+	}{v.Build, v.Stage, v.Verdict})
+	l.Put(http1.Request("POST", "/judgements", d.address, string(body)))
+	if end := l.Flush(); end.Over() {
+		return 0, stage, end
+	}
+	var a http1.Answer
+	var text []byte
+	for {
+		used, out, err := a.Read(l.Bytes(), text)
+		l.Drop(used)
+		text = out
+		if err != nil {
+			return 0, stage, link.End{How: link.Malformed, Sent: true}
+		}
+		if a.Done {
+			break
+		}
+		if end := l.Fill(0); end.Over() {
+			return 0, stage, end
+		}
+	}
+	if a.Status == 200 {
+		var err error
+		if stage, err = ReadStage(text); err != nil {
+			return 0, stage, link.End{How: link.Malformed, Sent: true}
+		}
+	}
+	return a.Status, stage, link.End{How: link.Finished, Sent: true}
+}
+
+// follow keeps the stream of changes open. It comes back at once when it was cut, and gives the
+// platform a moment when it cannot be reached.
+func (d *Desk) follow(ctx context.Context) error {
+	for ctx.Err() == nil {
+		began := time.Now()
+		end := d.stream(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		d.log(fmt.Sprintf("platform: changes cut: %s", end.How))
+		select {
+		case <-time.After(d.limit/8 - time.Since(began)):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+// stream reads changes until the connection ends or gives no sign of life for as long as a call
+// may take; one comes every second.
+func (d *Desk) stream(ctx context.Context) link.End {
+	l, end := link.Dial(ctx, d.address, d.limit, d.room)
+	if end.Over() {
+		return end
+	}
+	defer l.Close()
+	d.Streams.Add(1)
+	l.Within(ctx)
+	l.Until(time.Now().Add(d.limit))
+	l.Put(http1.Request("GET", "/changes", d.address, ""))
+	if end := l.Flush(); end.Over() {
+		return end
+	}
+	a := http1.Stream()
+	var lines []byte
+	for {
+		used, out, err := a.Read(l.Bytes(), lines)
+		l.Drop(used)
+		lines = out
+		if err != nil || a.Status != 0 && a.Status != 200 || len(lines) > mostLine {
+			return link.End{How: link.Malformed, Sent: true}
+		}
+		for {
+			line, rest, ok := bytes.Cut(lines, []byte("\n"))
+			if !ok {
+				break
+			}
+			if err := d.line(line); err != nil {
+				d.log(fmt.Sprintf("platform: change not understood: %v", err))
+				return link.End{How: link.Malformed, Sent: true}
+			}
+			lines = rest
+		}
+		if len(lines) == 0 {
+			lines = nil
+		}
+		if a.Done {
+			return link.End{How: link.Closed, Sent: true}
+		}
+		if end := l.Fill(0); end.Over() {
+			return end
+		}
+		l.Until(time.Now().Add(d.limit))
+	}
+}
+
+// line takes one change. Kinds that are not known are skipped.
+func (d *Desk) line(text []byte) error {
+	d.Lines.Add(1)
+	var is struct {
+		Type   string          `json:"type"`
+		Object json.RawMessage `json:"object"`
+	}
+	if err := json.Unmarshal(text, &is); err != nil {
+		return err
+	}
+	var o struct {
+		Revision        uint16
+		Lane            string
+		Samples, Errors int
+		MeanMs, AgeMs   float64
+		InstanceId      string
+	}
+	switch is.Type {
+	case "stage":
+		stage, err := ReadStage(is.Object)
+		if err == nil {
+			d.gate.Told(stage)
+		}
+		return err
+	case "tally", "flag":
+		if err := json.Unmarshal(is.Object, &o); err != nil {
+			return err
+		}
+		if is.Type == "flag" {
+			d.gate.Flag(o.InstanceId, o.Lane, milliseconds(o.AgeMs))
+		} else {
+			d.gate.Tally(o.Revision, o.Lane, o.Samples, o.Errors, milliseconds(o.MeanMs), milliseconds(o.AgeMs))
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/units/units.go
@@ -0,0 +1,309 @@
+// Package units keeps connections to the units and makes deliveries on them, one at a time each.
+// Nothing is ever sent again here: each further delivery is the module's.
+package units
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"silvercove/internal/gate"
+	"silvercove/internal/link"
+	"silvercove/internal/pgwire"
+)
+
+// Pools holds the idle connections, by unit.
+type Pools struct {
+	room    *link.Room
+	connect time.Duration // time limit of a new connection
+	rest    time.Duration // how long a connection may stand idle
+	gate    *gate.Gate
+	figures []string      // of a load report
+	slots   chan struct{} // one for each connection that may be open
+	probes  sync.WaitGroup
+
+	mu   sync.Mutex
+	idle map[string][]*conn // the last used at the end
+
+	Opened, Reused, Failed atomic.Int64
+}
+
+type conn struct {
+	*link.Link
+	to    gate.Unit
+	since time.Time // idle since
+}
+
+// New makes pools of at most so many connections in all. A connection that would stand idle for
+// as long as rest is closed before the unit does it.
+func New(room *link.Room, most int, connect, rest time.Duration, g *gate.Gate) *Pools {
+	return &Pools{room: room, connect: connect, rest: rest - rest/8, gate: g, figures: g.Figures(),
+		slots: make(chan struct{}, most), idle: map[string][]*conn{}}
+}
+
+// Reply is how a delivery ended. Its rows are valid until Done.
+type Reply struct {
+	State string // SQLSTATE of the answer, empty with none
+	End   link.End
+	Load  []float64
+	Rows  [][]byte // messages to pass on, byte for byte
+	conn  *conn
+	pools *Pools
+	keep  bool
+}
+
+// Deliver makes one delivery of a query.
+func (p *Pools) Deliver(d *gate.Delivery, q *pgwire.Query) Reply {
+	c, r := p.open(d.Context, d.Unit)
+	if c == nil {
+		return r
+	}
+	if d.Context.Err() != nil { // called off before it began: it is not sent
+		p.close(c)
+		return Reply{End: link.End{How: link.CalledOff}}
+	}
+	c.Within(d.Context)
+	c.Put(q.Parts(time.Until(d.StopAt).Milliseconds())...)
+	if end := c.Flush(); end.Over() {
+		p.close(c)
+		return Reply{End: end}
+	}
+	r = p.read(c)
+	if r.State == "" && !r.End.Over() || r.State == pgwire.Complete && len(r.Rows) != rowParts {
+		r = Reply{End: link.End{How: link.Malformed, Sent: true}} // it is ready again without an answer
+	}
+	r.conn, r.pools = c, p
+	return r
+}
+
+// rowParts are the messages of a row: its description, itself and the end.
+const rowParts = 3
+
+// read reads one answer to its end. A row or an error counts from when it is whole; the unit then
+// has the time of a new connection to say that it is ready for more.
+func (p *Pools) read(c *conn) Reply {
+	var a pgwire.Answer
+	for {
+		var end link.End
+		if err := a.Read(c.Bytes()); err == pgwire.ErrOverlong {
+			end = link.End{How: link.Overlong, Sent: true}
+		} else if err != nil {
+			end = link.End{How: link.Malformed, Sent: true}
+		} else if a.Ready || a.Fatal {
+			return p.reply(c, &a, a.Ready)
+		} else {
+			if a.State != "" {
+				c.Until(time.Now().Add(p.connect))
+			}
+			end = c.Fill(a.Need(c.Bytes()))
+		}
+		if end.Over() && a.State != "" {
+			return p.reply(c, &a, false)
+		}
+		if end.Over() {
+			return Reply{End: end}
+		}
+	}
+}
+
+func (p *Pools) reply(c *conn, a *pgwire.Answer, keep bool) Reply {
+	r := Reply{State: a.State, Load: pgwire.Load(a.Load, p.figures), keep: keep && a.Used == len(c.Bytes())}
+	if a.State == pgwire.Complete {
+		for _, span := range a.Rows {
+			r.Rows = append(r.Rows, c.Bytes()[span[0]:span[1]])
+		}
+	}
+	return r
+}
+
+// Done gives the connection back. It is used again only after an answer that ended in order.
+func (r *Reply) Done() {
+	c := r.conn
+	if c == nil {
+		return
+	}
+	if !c.Release() || !r.keep {
+		r.pools.close(c)
+		return
+	}
+	c.Drop(len(c.Bytes()))
+	c.Rest()
+	c.since = time.Now()
+	r.pools.mu.Lock()
+	r.pools.idle[c.to.Name] = append(r.pools.idle[c.to.Name], c)
+	r.pools.mu.Unlock()
+}
+
+// open finds an idle connection to a unit or makes a new one.
+func (p *Pools) open(ctx context.Context, to gate.Unit) (*conn, Reply) {
+	for c := p.take(to.Name); c != nil; c = p.take(to.Name) {
+		if c.to == to && time.Since(c.since) < p.rest && c.Quiet() {
+			p.Reused.Add(1)
+			return c, Reply{}
+		}
+		p.close(c)
+	}
+	select {
+	case p.slots <- struct{}{}:
+	default:
+		if !p.closeOldest() {
+			p.Failed.Add(1)
+			return nil, Reply{End: link.End{How: link.Refused}}
+		}
+		select {
+		case p.slots <- struct{}{}:
+		case <-ctx.Done():
+			return nil, Reply{End: link.End{How: link.Refused}}
+		}
+	}
+	c, r := p.dial(ctx, to)
+	if c == nil {
+		p.Failed.Add(1)
+		<-p.slots
+	}
+	return c, r
+}
+
+// dial opens a connection up to the unit's word that it is ready.
+func (p *Pools) dial(ctx context.Context, to gate.Unit) (*conn, Reply) {
+	p.Opened.Add(1)
+	limited, cancel := context.WithTimeout(ctx, p.connect)
+	defer cancel()
+	l, end := link.Dial(limited, to.Dial, p.connect, p.room)
+	if end.Over() {
+		return nil, Reply{End: end}
+	}
+	c := &conn{Link: l, to: to}
+	c.Within(limited)
+	c.Put(pgwire.Hail())
+	if end = c.Flush(); !end.Over() {
+		r := p.read(c)
+		if end = r.End; r.State == pgwire.NoRoom {
+			c.Close()
+			return nil, Reply{State: r.State}
+		}
+		if r.State == "" && !end.Over() && r.keep && c.Release() {
+			c.Drop(len(c.Bytes()))
+			return c, Reply{}
+		}
+	}
+	c.Close()
+	if end.Over() {
+		return nil, Reply{End: link.End{How: end.How}} // no query was written
+	}
+	return nil, Reply{End: link.End{How: link.NotUp}}
+}
+
+func (p *Pools) take(name string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[name]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[name] = list[:len(list)-1]
+	return c
+}
+
+func (p *Pools) close(c *conn) {
+	c.Close()
+	<-p.slots
+}
+
+// closeOldest closes the connection that has stood idle the longest.
+func (p *Pools) closeOldest() bool {
+	p.mu.Lock()
+	oldest := ""
+	for name, list := range p.idle {
+		if len(list) > 0 && (oldest == "" || list[0].since.Before(p.idle[oldest][0].since)) {
+			oldest = name
+		}
+	}
+	if oldest == "" {
+		p.mu.Unlock()
+		return false
+	}
+	c := p.idle[oldest][0]
+	p.idle[oldest] = p.idle[oldest][1:]
+	p.mu.Unlock()
+	p.close(c)
+	return true
+}
+
+// CloseIdle closes the idle connections to a unit.
+func (p *Pools) CloseIdle(name string) {
+	p.mu.Lock()
+	list := p.idle[name]
+	delete(p.idle, name)
+	p.mu.Unlock()
+	for _, c := range list {
+		p.close(c)
+	}
+}
+
+// Probe checks a unit on a goroutine of its own, which Run waits for.
+func (p *Pools) Probe(to gate.Unit) {
+	p.probes.Add(1)
+	go func() {
+		defer p.probes.Done()
+		began := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), p.connect)
+		defer cancel()
+		c, r := p.open(ctx, to)
+		if c != nil {
+			c.Within(ctx)
+			c.Put(pgwire.Simple("SELECT 1"))
+			if r.End = c.Flush(); !r.End.Over() {
+				r = p.read(c)
+			}
+			r.conn, r.pools = c, p
+			r.Done()
+		}
+		p.gate.Probed(to.Name, r.State, r.End, time.Since(began), r.Load)
+	}()
+}
+
+// Run closes connections ahead of the units' own idle limit until the context ends, then all.
+func (p *Pools) Run(ctx context.Context) error {
+	beat := time.NewTicker(max(p.rest/16, time.Millisecond))
+	defer beat.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			p.probes.Wait()
+			for p.closeOldest() {
+			}
+			return nil
+		case <-beat.C:
+			p.sweep(time.Now())
+		}
+	}
+}
+
+func (p *Pools) sweep(now time.Time) {
+	var old []*conn
+	p.mu.Lock()
+	for name, list := range p.idle {
+		n := 0
+		for n < len(list) && now.Sub(list[n].since) >= p.rest {
+			n++
+		}
+		old, p.idle[name] = append(old, list[:n]...), list[n:]
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		p.close(c)
+	}
+}
+
+// InUse tells how many connections are open, and how many of them are idle.
+func (p *Pools) InUse() (open, idle int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range p.idle {
+		idle += len(list)
+	}
+	return len(p.slots), idle
+}
