Reuse unit connections; evict idle sessions in place of waiting to accept

Cause, by counters each 50 ms: Report cancelled the delivery's context before Done released the connection from it, so each counted as given up. Now it is released where the answer has been read. Accepting no longer waits for a session to end: the one idle the longest is closed, and where none is idle the new one is nacked.

--- a/cmd/silvercove/main.go
+++ b/cmd/silvercove/main.go
@@ -94,7 +94,7 @@
 			}
 		}
 	})
-	r.log.Info().Str("name", t.name).Str("listen", t.listen).Int("units", len(t.known)).Msg("serving")
+	r.log.Info().Str("name", t.name).Str("listen", t.listen).Int("units", len(t.known)).Float64("cores", t.cores).Int64("memory", t.memory).Int("sockets", t.sockets).Msg("serving")
 	err = group.Wait()
 	r.print("stopped")
 	return err
@@ -123,7 +123,7 @@
 		Probe:     func(u gate.Unit) { r.pools.Probe(u) },
 		CloseIdle: func(name string) { r.pools.CloseIdle(name) },
 	})
-	atUnits := (t.sockets - otherSockets) / 3
+	atUnits := (t.sockets - otherSockets) / 6
 	r.pools = units.New(r.room, atUnits, span("limits.connect_timeout"), span("limits.idle_close"), r.gate)
 	r.front = clients.New(r.gate, r.pools, r.room, t.sockets-otherSockets-atUnits, timeout)
 	r.gate.List(true, t.known)
@@ -146,7 +146,7 @@
 		Int64("room_set_aside", set).Int64("room_held", held).Int("unit_connections", open).Int("idle", idle).
 		Int64("opened", r.pools.Opened.Load()).Int64("reused", r.pools.Reused.Load()).Int64("connect_failed", r.pools.Failed.Load()).
 		Int("sessions", r.front.InUse()).Int64("accepted", r.front.Accepted.Load()).
-		Int64("malformed", r.front.Malformed.Load()).Int64("crowded", r.front.Crowded.Load()).
+		Int64("malformed", r.front.Malformed.Load()).Int64("crowded", r.front.Crowded.Load()).Int64("evicted", r.front.Evicted.Load()).
 		Int64("list_answers", r.watch.Answers.Load()).Int64("list_failures", r.watch.Failures.Load()).
 		Int64("platform_lines", r.desk.Lines.Load()).Int64("platform_streams", r.desk.Streams.Load()).
 		Int64("cpu_ms", (use.Utime.Nano()+use.Stime.Nano())/1e6).Int64("peak_rss_kb", use.Maxrss).Msg(why)
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"container/list"
 	"errors"
 	"net"
 	"os"
@@ -30,22 +31,24 @@
 	pools *units.Pools
 	room  *link.Room
 	most  int           // sessions at once
+	spare int           // beyond that, to be answered with a nack or to end
 	limit time.Duration // of a startup, and of a client's reading its answer
 
-	mu       sync.Mutex
-	sessions map[*session]bool
-	changed  chan struct{} // a session has ended
-	closing  bool          // sessions close between commands
+	mu      sync.Mutex
+	ended   sync.Cond // a session has
+	open    int       // sessions
+	idle    list.List // those that wait for a command, the longest first
+	closing bool      // all close between commands
 
-	Accepted, Malformed, Crowded atomic.Int64
+	Accepted, Malformed, Crowded, Evicted atomic.Int64
 }
 
 type session struct {
 	*Front
 	*link.Link
-	idle  bool // waits for a command; guarded by Front.mu
-	since time.Time
-	close bool // to be closed between commands
+	place *list.Element // among the idle; guarded by Front.mu
+	close bool          // to be closed between commands
+	over  bool          // it came when there was no place: its commands are nacked
 
 	refused bool // what comes up to the end of an extended query is skipped
 }
@@ -53,10 +56,13 @@
 // New makes a front for so many sessions at once. A client has limit for its startup, and as long
 // to read an answer.
 func New(g *gate.Gate, pools *units.Pools, room *link.Room, most int, limit time.Duration) *Front {
-	return &Front{gate: g, pools: pools, room: room, most: most, limit: limit, sessions: map[*session]bool{},
-		changed: make(chan struct{}, 1)}
+	f := &Front{gate: g, pools: pools, room: room, most: most - most/spareOf, spare: most / spareOf, limit: limit}
+	f.ended.L = &f.mu
+	return f
 }
 
+const spareOf = 8 // one place in so many is spare
+
 // Serve takes in connections until the listener is closed or its deadline passes, and waits for all
 // sessions.
 func (f *Front) Serve(listener net.Listener) error {
@@ -76,8 +82,7 @@
 			return err
 		}
 		f.Accepted.Add(1)
-		s := &session{Front: f, Link: link.New(conn, f.room)}
-		f.enter(s)
+		s := f.enter(conn)
 		group.Go(func() error {
 			defer f.leave(s)
 			s.serve()
@@ -86,43 +91,49 @@
 	}
 }
 
-// enter adds a session. At the limit it waits for one to end, and closes the one idle the longest.
-func (f *Front) enter(s *session) {
+// enter makes a session. Where all places are taken, the one idle the longest has to go; where none
+// is idle, the new one is there to be nacked. It waits only while the spare places are taken too.
+func (f *Front) enter(conn net.Conn) *session {
+	s := &session{Front: f, Link: link.New(conn, f.room)}
 	f.mu.Lock()
-	for len(f.sessions) >= f.most {
-		f.mu.Unlock()
-		f.makeRoom()
-		f.mu.Lock()
+	defer f.mu.Unlock()
+	for f.open >= f.most+f.spare {
+		f.evict()
+		f.ended.Wait()
+	}
+	s.over = f.open >= f.most && !f.evict()
+	f.open++
+	return s
+}
+
+// evict has the session end that is idle the longest.
+func (f *Front) evict() bool {
+	first := f.idle.Front()
+	if first == nil {
+		return false
 	}
-	f.sessions[s] = true
-	f.mu.Unlock()
+	s := f.idle.Remove(first).(*session)
+	s.place, s.close = nil, true
+	s.Interrupt()
+	f.Evicted.Add(1)
+	return true
 }
 
+// makeRoom ends one session and waits for it.
 func (f *Front) makeRoom() {
 	f.mu.Lock()
-	var oldest *session
-	for s := range f.sessions {
-		if s.idle && !s.close && (oldest == nil || s.since.Before(oldest.since)) {
-			oldest = s
-		}
-	}
-	if oldest != nil {
-		oldest.close = true
-		oldest.Interrupt()
+	defer f.mu.Unlock()
+	if f.evict(); f.open > 0 {
+		f.ended.Wait()
 	}
-	f.mu.Unlock()
-	<-f.changed
 }
 
 func (f *Front) leave(s *session) {
 	s.Close()
 	f.mu.Lock()
-	delete(f.sessions, s)
-	f.mu.Unlock()
-	select {
-	case f.changed <- struct{}{}:
-	default:
-	}
+	defer f.mu.Unlock()
+	f.open--
+	f.ended.Signal()
 }
 
 // Wind closes all sessions between commands from now on.
@@ -130,10 +141,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.closing = true
-	for s := range f.sessions {
-		if s.idle {
-			s.Interrupt()
-		}
+	for f.evict() {
 	}
 }
 
@@ -141,7 +149,7 @@
 func (f *Front) InUse() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.sessions)
+	return f.open
 }
 
 func (s *session) serve() {
@@ -239,14 +247,18 @@
 func (s *session) wait() bool {
 	s.mu.Lock()
 	s.Resume()
-	s.idle, s.since = true, time.Now()
 	if s.close || s.closing {
 		s.Interrupt()
+	} else {
+		s.place = s.idle.PushBack(s)
 	}
 	s.mu.Unlock()
 	end := s.Fill(0)
 	s.mu.Lock()
-	s.idle = false
+	if s.place != nil {
+		s.idle.Remove(s.place)
+		s.place = nil
+	}
 	s.mu.Unlock()
 	if end.How == link.Late && !s.Quiet() {
 		s.Resume()
@@ -306,7 +318,7 @@
 		s.Malformed.Add(1)
 		return s.skip(size) && s.say(pgwire.Problem("ERROR", pgwire.TooLong, "query too long", ""), pgwire.Ready())
 	}
-	if !s.room.Take(size) {
+	if s.over || !s.room.Take(size) {
 		return s.crowded(size)
 	}
 	defer s.room.Give(size)
@@ -340,6 +352,9 @@
 // crowded nacks a query for which there are no buffers.
 func (s *session) crowded(size int) bool {
 	s.Crowded.Add(1)
+	s.mu.Lock()
+	s.close = s.close || s.over
+	s.mu.Unlock()
 	return s.skip(size) && s.say(pgwire.Problem("ERROR", pgwire.NoRoom, "no room", ""), pgwire.Ready())
 }
 
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -73,7 +73,7 @@
 	if r.State == "" && !r.End.Over() || r.State == pgwire.Complete && len(r.Rows) != rowParts {
 		r = Reply{End: link.End{How: link.Malformed, Sent: true}} // it is ready again without an answer
 	}
-	r.conn, r.pools = c, p
+	r.conn, r.pools, r.keep = c, p, c.Release() && r.keep // before its context is cancelled
 	return r
 }
 
@@ -123,7 +123,7 @@
 	if c == nil {
 		return
 	}
-	if !c.Release() || !r.keep {
+	if !r.keep {
 		r.pools.close(c)
 		return
 	}
@@ -258,7 +258,7 @@
 			if r.End = c.Flush(); !r.End.Over() {
 				r = p.read(c)
 			}
-			r.conn, r.pools = c, p
+			r.conn, r.pools, r.keep = c, p, c.Release() && r.keep
 			r.Done()
 		}
 		p.gate.Probed(to.Name, r.State, r.End, time.Since(began), r.Load)
