--- a/cmd/silvercove/main.go
+++ b/cmd/silvercove/main.go
@@ -16,6 +16,7 @@
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 
 	"silvercove/internal/clients"
 	"silvercove/internal/gate"
@@ -57,6 +58,7 @@
 func run(t told) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(t.cores))))
 	debug.SetMemoryLimit(t.memory * 3 / 4)
+	growTable(t.sockets)
 	r := build(t)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
@@ -68,6 +70,7 @@
 	group.Go(func() error { return r.pools.Run(ctx) })
 	group.Go(func() error { return r.watch.Run(ctx, r.gate, t.settings["discovery"] != "subscribe") })
 	group.Go(func() error { return r.desk.Run(ctx, r.gate) })
+	r.pools.Warm(r.gate.Ready())
 	listener, err := net.Listen("tcp", t.listen) // now it is ready to serve
 	if err != nil {
 		return err
@@ -100,6 +103,14 @@
 	return err
 }
 
+// growTable makes the kernel's table of descriptors as large as it will be needed. Where it grows
+// with the connections, each doubling holds up the process for tens of milliseconds.
+func growTable(sockets int) {
+	if fd, err := unix.FcntlInt(0, unix.F_DUPFD_CLOEXEC, sockets-1); err == nil {
+		unix.Close(fd)
+	}
+}
+
 // build puts the parts together and hands the module what is known at the start.
 func build(t told) *relay {
 	r := &relay{log: zerolog.New(os.Stderr).With().Timestamp().Logger()}
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -37,6 +37,7 @@
 	mu      sync.Mutex
 	ended   sync.Cond // a session has
 	open    int       // sessions
+	taken   int       // commands that wait for their answer
 	idle    list.List // those that wait for a command, the longest first
 	closing bool      // all close between commands
 
@@ -207,7 +208,8 @@
 				return false
 			}
 		default:
-			return s.say(pgwire.Hello())
+			s.Put(pgwire.Hello())
+			return len(s.Bytes()) > 0 || s.say() // with the first answer, if its query is here
 		}
 	}
 }
@@ -318,7 +320,11 @@
 		s.Malformed.Add(1)
 		return s.skip(size) && s.say(pgwire.Problem("ERROR", pgwire.TooLong, "query too long", ""), pgwire.Ready())
 	}
-	if s.over || !s.room.Take(size) {
+	if s.over || !s.begin() {
+		return s.crowded(size)
+	}
+	defer s.end()
+	if !s.room.Take(size) {
 		return s.crowded(size)
 	}
 	defer s.room.Give(size)
@@ -349,6 +355,25 @@
 	return going
 }
 
+// begin counts one more open command, if half of the places are free of them. So the places left
+// over stand for answers that clients have not read yet, and a client's next command need not open
+// a connection.
+func (s *session) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if 2*s.taken >= s.most {
+		return false
+	}
+	s.taken++
+	return true
+}
+
+func (s *session) end() {
+	s.mu.Lock()
+	s.taken--
+	s.mu.Unlock()
+}
+
 // crowded nacks a query for which there are no buffers.
 func (s *session) crowded(size int) bool {
 	s.Crowded.Add(1)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -233,6 +233,18 @@
 	c.steps <- Step{Final: Gone}
 }
 
+// Ready are the units that may get deliveries, in the order in which they were first listed.
+func (g *Gate) Ready() (all []Unit) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, u := range g.byDoor {
+		if u.State == choice.Ready {
+			all = append(all, u.place())
+		}
+	}
+	return all
+}
+
 // Figures are the names of the values of a load report, in the settings' order.
 func (g *Gate) Figures() []string { return g.loads }
 
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -222,10 +222,9 @@
 	}
 	quiet := false
 	var one [1]byte
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) { // unlike raw.Read, also past the deadline
 		_, _, e := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = e == syscall.EAGAIN
-		return true
 	})
 	return err == nil && quiet
 }
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -128,11 +128,16 @@
 		return
 	}
 	c.Drop(len(c.Bytes()))
+	r.pools.rested(c)
+}
+
+// rested takes a connection among the idle.
+func (p *Pools) rested(c *conn) {
 	c.Rest()
 	c.since = time.Now()
-	r.pools.mu.Lock()
-	r.pools.idle[c.to.Name] = append(r.pools.idle[c.to.Name], c)
-	r.pools.mu.Unlock()
+	p.mu.Lock()
+	p.idle[c.to.Name] = append(p.idle[c.to.Name], c)
+	p.mu.Unlock()
 }
 
 // open finds an idle connection to a unit or makes a new one.
@@ -243,6 +248,26 @@
 	}
 }
 
+// Warm opens connections to units that have just been listed, part of them to each, so that the first
+// commands after a start need not wait for them. It waits at most as long as one takes.
+func (p *Pools) Warm(to []gate.Unit) {
+	ctx, cancel := context.WithTimeout(context.Background(), p.connect)
+	defer cancel()
+	var all sync.WaitGroup
+	for i := range cap(p.slots) / 2 / max(1, len(to)) * len(to) {
+		all.Go(func() {
+			p.slots <- struct{}{}
+			c, _ := p.dial(ctx, to[i%len(to)])
+			if c == nil {
+				<-p.slots
+				return
+			}
+			p.rested(c)
+		})
+	}
+	all.Wait()
+}
+
 // Probe checks a unit on a goroutine of its own, which Run waits for.
 func (p *Pools) Probe(to gate.Unit) {
 	p.probes.Add(1)
