Nack beyond a fifth of the places with a come-back time; half-open startups give way too

Half-open startups held all places afterwards, as only sessions that wait for a command were evicted (clients.go, wait and greet).

--- a/cmd/silvercove/main.go
+++ b/cmd/silvercove/main.go
@@ -134,9 +134,14 @@
 		Probe:     func(u gate.Unit) { r.pools.Probe(u) },
 		CloseIdle: func(name string) { r.pools.CloseIdle(name) },
 	})
+	comeBack := time.Duration(0)
+	if t.settings["limits.come_back"] == true {
+		comeBack = span("limits.max_come_back")
+	}
 	atUnits := (t.sockets - otherSockets) / 6
 	r.pools = units.New(r.room, atUnits, span("limits.connect_timeout"), span("limits.idle_close"), r.gate)
-	r.front = clients.New(r.gate, r.pools, r.room, t.sockets-otherSockets-atUnits, timeout)
+	r.front = clients.New(r.gate, r.pools, r.room, t.sockets-otherSockets-atUnits, timeout,
+		comeBack)
 	r.gate.List(true, t.known)
 	r.gate.Told(t.news)
 	return r
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -33,6 +33,7 @@
 	most  int           // sessions at once
 	spare int           // beyond that, to be answered with a nack or to end
 	limit time.Duration // of a startup, and of a client's reading its answer
+	back  string        // for nacks for lack of places, in milliseconds
 
 	mu      sync.Mutex
 	ended   sync.Cond // a session has
@@ -55,14 +56,20 @@
 }
 
 // New makes a front for so many sessions at once. A client has limit for its startup, and as long
-// to read an answer.
-func New(g *gate.Gate, pools *units.Pools, room *link.Room, most int, limit time.Duration) *Front {
+// to read an answer. Who is nacked for lack of places is told to stay away for back.
+func New(g *gate.Gate, pools *units.Pools, room *link.Room, most int, limit, back time.Duration) *Front {
 	f := &Front{gate: g, pools: pools, room: room, most: most - most/spareOf, spare: most / spareOf, limit: limit}
+	if back > 0 {
+		f.back = strconv.FormatInt(back.Milliseconds(), 10)
+	}
 	f.ended.L = &f.mu
 	return f
 }
 
-const spareOf = 8 // one place in so many is spare
+const (
+	spareOf = 8 // one place in so many is spare
+	takenOf = 5 // and one in so many may hold a command
+)
 
 // Serve takes in connections until the listener is closed or its deadline passes, and waits for all
 // sessions.
@@ -185,7 +192,6 @@
 
 // greet takes the startup, within the time limit.
 func (s *session) greet() bool {
-	s.Until(time.Now().Add(s.limit))
 	for {
 		start, size, err := pgwire.Startup(s.Bytes())
 		switch {
@@ -193,8 +199,13 @@
 			s.Malformed.Add(1)
 			s.say(pgwire.Problem("FATAL", pgwire.Violation, "malformed startup", ""))
 			return false
+		case size == 0 && len(s.Bytes()) > 0:
+			if s.Fill(0).Over() {
+				return false
+			}
+			continue
 		case size == 0:
-			if end := s.Fill(0); end.Over() {
+			if !s.wait(time.Now().Add(s.limit)) {
 				return false
 			}
 			continue
@@ -233,7 +244,7 @@
 		case size > 0:
 			return kind, size, true
 		case len(s.Bytes()) == 0:
-			ok = s.wait()
+			ok = s.wait(time.Time{})
 		default:
 			s.Until(time.Now().Add(s.limit))
 			ok = !s.Fill(0).Over()
@@ -246,9 +257,9 @@
 
 // wait waits for the first byte of a message. Only here a session is closed by this side, and not
 // if a byte has come by then.
-func (s *session) wait() bool {
+func (s *session) wait(until time.Time) bool {
 	s.mu.Lock()
-	s.Resume()
+	s.Until(until)
 	if s.close || s.closing {
 		s.Interrupt()
 	} else {
@@ -355,13 +366,13 @@
 	return going
 }
 
-// begin counts one more open command, if half of the places are free of them. So the places left
-// over stand for answers that clients have not read yet, and a client's next command need not open
-// a connection.
+// begin counts one more open command, if enough of the places are free of them. Clients open a
+// connection for each command that waits; after a hiccup those thousands would cost more than the
+// commands themselves, and it would never end.
 func (s *session) begin() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if 2*s.taken >= s.most {
+	if takenOf*s.taken >= s.most {
 		return false
 	}
 	s.taken++
@@ -380,7 +391,7 @@
 	s.mu.Lock()
 	s.close = s.close || s.over
 	s.mu.Unlock()
-	return s.skip(size) && s.say(pgwire.Problem("ERROR", pgwire.NoRoom, "no room", ""), pgwire.Ready())
+	return s.skip(size) && s.say(pgwire.Problem("ERROR", pgwire.NoRoom, "no room", s.back), pgwire.Ready())
 }
 
 // command is the path of one command: as often as the module says, a delivery; then its answer.
