--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -192,6 +192,7 @@
 
 // greet takes the startup, within the time limit.
 func (s *session) greet() bool {
+	s.Until(time.Now().Add(s.limit))
 	for {
 		start, size, err := pgwire.Startup(s.Bytes())
 		switch {
@@ -199,16 +200,11 @@
 			s.Malformed.Add(1)
 			s.say(pgwire.Problem("FATAL", pgwire.Violation, "malformed startup", ""))
 			return false
-		case size == 0 && len(s.Bytes()) > 0:
+		case size == 0: // not to be evicted: a command may be right behind
 			if s.Fill(0).Over() {
 				return false
 			}
 			continue
-		case size == 0:
-			if !s.wait(time.Now().Add(s.limit)) {
-				return false
-			}
-			continue
 		}
 		s.Drop(size)
 		switch start {
@@ -244,7 +240,7 @@
 		case size > 0:
 			return kind, size, true
 		case len(s.Bytes()) == 0:
-			ok = s.wait(time.Time{})
+			ok = s.wait()
 		default:
 			s.Until(time.Now().Add(s.limit))
 			ok = !s.Fill(0).Over()
@@ -257,9 +253,9 @@
 
 // wait waits for the first byte of a message. Only here a session is closed by this side, and not
 // if a byte has come by then.
-func (s *session) wait(until time.Time) bool {
+func (s *session) wait() bool {
 	s.mu.Lock()
-	s.Until(until)
+	s.Resume()
 	if s.close || s.closing {
 		s.Interrupt()
 	} else {
