--- /dev/null
+++ b/internal/clients/clients_test.go
@@ -0,0 +1,207 @@
+package clients
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"silvercove/internal/gate"
+	"silvercove/internal/link"
+	"silvercove/internal/pgwire"
+	"silvercove/internal/units"
+)
+
+const asks = "SELECT content FROM kv WHERE name = '7f3a' /* id=9b1f,c=read,t=acme,d=3000 */"
+
+func message(kind byte, body string) string {
+	return string(binary.BigEndian.AppendUint32([]byte{kind}, uint32(4+len(body)))) + body
+}
+
+var row = message('T', "\x00\x01content\x00"+strings.Repeat("\x00", 18)) + message('D', "\x00\x01\x00\x00\x00\x02hi") +
+	message('C', "SELECT 1\x00")
+
+// unit answers each query with what it is told, and counts connections and queries.
+type unit struct {
+	net.Listener
+	answer           string
+	conns, questions atomic.Int32
+}
+
+func (u *unit) serve() {
+	for {
+		c, err := u.Accept()
+		if err != nil {
+			return
+		}
+		u.conns.Add(1)
+		go func() {
+			defer c.Close()
+			b := make([]byte, 1<<10)
+			c.Read(b)
+			io.WriteString(c, message('R', "\x00\x00\x00\x00")+string(pgwire.Ready()))
+			for {
+				if _, err := c.Read(b); err != nil || b[0] != 'Q' {
+					return
+				}
+				u.questions.Add(1)
+				if u.answer == "" {
+					return
+				}
+				io.WriteString(c, u.answer)
+			}
+		}()
+	}
+}
+
+// relay is a front with one unit behind it.
+func relay(t *testing.T, places int, answer string) (address string, u *unit, f *Front) {
+	t.Helper()
+	listen := func() net.Listener {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return l
+	}
+	u = &unit{Listener: listen(), answer: answer}
+	go u.serve()
+	op := func(name, repeats string) map[string]any {
+		return map[string]any{"name": name, "repeats": repeats, "service_target": 1.0, "command_timeout": 4.0,
+			"importance": 1.0}
+	}
+	room := link.NewRoom(4 << 20)
+	nothing := func(string) {}
+	g := gate.New(1, map[string]any{"relays": 1.0, "limits.max_deliveries": 1.0,
+		"op_types": []map[string]any{op("read", "redeliverable"), op("sell", "at_most_once")}},
+		gate.Hands{Log: nothing, CloseIdle: nothing, Watch: func(bool) {}})
+	g.List(true, []gate.Host{{Name: "s-1", Dial: u.Addr().String(), State: "up", Build: 1}})
+	g.Told(gate.Stage{Build: 1, State: "live", Cap: 1})
+	pools := units.New(room, 4, time.Second, time.Minute, g)
+	f = New(g, pools, room, places, 4*time.Second, time.Second)
+	l := listen()
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return f.Serve(l) })
+	group.Go(func() error { return pools.Run(ctx) })
+	group.Go(func() error { return g.Tick(ctx) })
+	t.Cleanup(func() {
+		f.Wind()
+		l.Close()
+		cancel()
+		u.Close()
+		group.Wait()
+	})
+	return l.Addr().String(), u, f
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	return c
+}
+
+func want(t *testing.T, c net.Conn, what string) {
+	t.Helper()
+	got := make([]byte, len(what))
+	if n, err := io.ReadFull(c, got); err != nil || string(got) != what {
+		t.Fatalf("got %q (%v), want %q", got[:n], err, what)
+	}
+}
+
+func TestSessions(t *testing.T) {
+	ready, hello := string(pgwire.Ready()), string(pgwire.Hello())
+	no := func(severity, code, text string) string { return string(pgwire.Problem(severity, code, text, "")) }
+	for _, c := range []struct{ name, unit, send, get string }{
+		{"empty query right behind the startup", row + ready, message('Q', "\x00"), string(pgwire.EmptyAnswer())},
+		{"acked byte for byte", row + ready, message('Q', asks+"\x00"), row + ready},
+		{"two queries at once", row + ready, strings.Repeat(message('Q', asks+"\x00"), 2), row + ready + row + ready},
+		{"no unit answers an at-most-once command", "", message('Q', strings.Replace(asks, "c=read", "c=sell", 1)+"\x00"),
+			no("ERROR", pgwire.Failed, "no answer; it may have run") + ready},
+		{"unknown op type", row + ready, message('Q', strings.Replace(asks, "c=read", "c=x", 1)+"\x00"),
+			no("ERROR", pgwire.BadParameter, "unknown op type") + ready},
+		{"other statement", row + ready, message('Q', "BEGIN\x00"),
+			no("ERROR", pgwire.BadSyntax, "no statement of the two forms") + ready},
+		{"extended query", row + ready, message('P', "\x00\x00\x00\x00") + message('D', "S\x00") + message('S', ""),
+			no("ERROR", pgwire.NotSupported, "only simple queries are served") + ready},
+		{"overlong query, then another", row + ready,
+			message('Q', strings.Repeat("x", pgwire.MostQuery)+"\x00") + message('Q', "\x00"),
+			no("ERROR", pgwire.TooLong, "query too long") + ready + string(pgwire.EmptyAnswer())},
+		{"unknown message", row + ready, message('y', ""), no("FATAL", pgwire.Violation, "unknown message")},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			address, _, _ := relay(t, 16, c.unit)
+			conn := dial(t, address)
+			io.WriteString(conn, string(pgwire.Hail())+c.send)
+			want(t, conn, hello+c.get)
+		})
+	}
+}
+
+func TestStartupForms(t *testing.T) {
+	address, _, _ := relay(t, 16, row)
+	for _, code := range []string{"\x04\xd2\x16\x2f", "\x04\xd2\x16\x30"} {
+		c := dial(t, address)
+		io.WriteString(c, "\x00\x00\x00\x08"+code)
+		want(t, c, "N")
+		io.WriteString(c, string(pgwire.Hail()))
+		want(t, c, string(pgwire.Hello()))
+	}
+	c := dial(t, address)
+	io.WriteString(c, "\x00\x00\x00\x10\x04\xd2\x16\x2e12345678")
+	if b, err := io.ReadAll(c); err != nil || len(b) > 0 {
+		t.Errorf("a cancel request got %q, %v", b, err)
+	}
+}
+
+// A delivery's context is cancelled when it is reported; that must not cost its connection.
+func TestUnitConnectionsAreReused(t *testing.T) {
+	address, u, _ := relay(t, 16, row+string(pgwire.Ready()))
+	c := dial(t, address)
+	io.WriteString(c, string(pgwire.Hail()))
+	want(t, c, string(pgwire.Hello()))
+	for range 5 {
+		io.WriteString(c, message('Q', asks+"\x00"))
+		want(t, c, row+string(pgwire.Ready()))
+	}
+	if n, q := u.conns.Load(), u.questions.Load(); n != 1 || q != 5 {
+		t.Errorf("%d connections for %d queries", n, q)
+	}
+}
+
+// Past its places the front ends the session idle the longest, and goes on accepting.
+func TestIdleSessionsGiveWay(t *testing.T) {
+	address, _, f := relay(t, 8, row+string(pgwire.Ready()))
+	var all []net.Conn
+	for i := range 20 {
+		c := dial(t, address)
+		io.WriteString(c, string(pgwire.Hail()))
+		want(t, c, string(pgwire.Hello()))
+		io.WriteString(c, message('Q', asks+"\x00"))
+		want(t, c, row+string(pgwire.Ready()))
+		all = append(all, c)
+		if i == 0 {
+			continue
+		}
+		if f.InUse() > 8 {
+			t.Fatalf("%d sessions", f.InUse())
+		}
+	}
+	if b, err := io.ReadAll(all[0]); err != nil || len(b) > 0 {
+		t.Errorf("the oldest session got %q, %v", b, err)
+	}
+	if f.Evicted.Load() == 0 {
+		t.Error("no session was evicted")
+	}
+}
