Print the counters without calling themselves for ever

At fault: Counts.String in gate.go worded a struct that embeds Counts and so has the same String: it called itself until memory ran out. Each planned restart and each SIGUSR1 was on the way to a crash.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
@@ -415,8 +414,3 @@
 	c.Alarm, c.AlarmWorst = g.lag.spent/n, g.lag.longestCall
 	return c
 }
-
-// String words the counts in one line.
-func (c Counts) String() string {
-	return fmt.Sprintf("%+v", struct{ Counts }{c})
-}
