Read the configuration again at SIGHUP and move to the new addresses

Now the list's watch and the platform's stream call off what they have open and go to the new address at once; the list is asked for whole there, as the agent may count its versions otherwise. A vote under way ends where it was cast. A configuration that cannot be read changes nothing and is logged.

--- a/cmd/silvercove/config.go
+++ b/cmd/silvercove/config.go
@@ -55,8 +55,9 @@
 
 func (t *told) read(text []byte) error {
 	var c struct {
-		Seed   string
-		Limits struct {
+		Discovery string
+		Seed      string
+		Limits    struct {
 			Cores    float64
 			MemoryMB int64 `json:"memory_mb"`
 			Sockets  int
@@ -80,6 +81,12 @@
 		return fmt.Errorf("limits: cores %v, memory_mb %d, sockets %d (%d at the least)",
 			t.cores, c.Limits.MemoryMB, t.sockets, leastSockets)
 	}
+	if c.Discovery != "" { // the file is newer than the environment once it was replaced
+		t.discovery = c.Discovery
+	}
+	if _, _, err := net.SplitHostPort(t.discovery); err != nil {
+		return fmt.Errorf("discovery: %w", err)
+	}
 	t.platform = c.Release.Address
 	if _, _, err := net.SplitHostPort(t.platform); err != nil {
 		return fmt.Errorf("release_api.address: %w", err)
--- a/cmd/silvercove/main.go
+++ b/cmd/silvercove/main.go
@@ -36,7 +36,7 @@
 func main() {
 	t, err := readTold(os.Getenv)
 	if err == nil {
-		err = run(t)
+		err = run(t, os.Getenv)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "silvercove:", err)
@@ -53,15 +53,18 @@
 	front *clients.Front
 	watch *list.Watch
 	desk  *platform.Desk
+
+	discovery, platform *link.Place
 }
 
-func run(t told) error {
+func run(t told, env func(string) string) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(t.cores))))
 	debug.SetMemoryLimit(t.memory * 3 / 4)
 	growTable(t.sockets)
 	r := build(t)
 	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	defer signal.Stop(signals)
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -83,9 +86,13 @@
 		for {
 			select {
 			case s := <-signals:
-				if s == syscall.SIGUSR1 {
+				switch s {
+				case syscall.SIGUSR1:
 					r.print("counters")
 					continue
+				case syscall.SIGHUP:
+					r.reload(env)
+					continue
 				}
 				r.log.Info().Str("signal", s.String()).Msg("stopping")
 				time.Sleep(handOver)
@@ -127,8 +134,9 @@
 	}
 	calls := max(time.Second, span("rollout.vote_wait"))
 	r.room = link.NewRoom(t.memory / 2)
-	r.watch = list.New(t.discovery, t.seq, span("rules.ask_every"), calls, r.room, say)
-	r.desk = platform.New(t.platform, calls, r.room, say)
+	r.discovery, r.platform = link.NewPlace(t.discovery), link.NewPlace(t.platform)
+	r.watch = list.New(r.discovery, t.seq, span("rules.ask_every"), calls, r.room, say)
+	r.desk = platform.New(r.platform, calls, r.room, say)
 	r.gate = gate.New(t.seed, t.settings, gate.Hands{
 		Vote: r.desk.Vote, Watch: r.watch.On, Fetch: r.watch.Fetch, Log: say,
 		Probe:     func(u gate.Unit) { r.pools.Probe(u) },
@@ -147,6 +155,18 @@
 	return r
 }
 
+// reload reads the configuration again. Only the addresses of the list and of the platform can change
+// under way; one that cannot be read changes nothing.
+func (r *relay) reload(env func(string) string) {
+	t, err := readTold(env)
+	if err != nil {
+		r.log.Error().Err(err).Msg("new configuration not taken")
+		return
+	}
+	list, votes := r.discovery.Move(t.discovery), r.platform.Move(t.platform)
+	r.log.Info().Bool("list_moved", list).Bool("platform_moved", votes).Msg("new configuration")
+}
+
 // print writes the counters.
 func (r *relay) print(why string) {
 	c := r.gate.Snapshot()
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -53,7 +53,7 @@
 // Watch follows the list.
 type Watch struct {
 	gate    *gate.Gate
-	address string
+	place   *link.Place
 	seq     int64
 	wait    time.Duration // that a call may wait for something newer
 	limit   time.Duration // beyond that
@@ -66,9 +66,9 @@
 	Answers, Failures atomic.Int64
 }
 
-// New makes a watch that goes on from a version. A call has limit more time than it may wait.
-func New(address string, seq int64, wait, limit time.Duration, room *link.Room, log func(string)) *Watch {
-	return &Watch{address: address, seq: seq, wait: wait, limit: limit, room: room, log: log,
+// New makes a watch at a place that goes on from a version. A call has limit more time than it may wait.
+func New(place *link.Place, seq int64, wait, limit time.Duration, room *link.Room, log func(string)) *Watch {
+	return &Watch{place: place, seq: seq, wait: wait, limit: limit, room: room, log: log,
 		on: make(chan bool, 1), fetch: make(chan struct{}, 1)}
 }
 
@@ -99,6 +99,7 @@
 func (w *Watch) Run(ctx context.Context, g *gate.Gate, on bool) error {
 	w.gate = g
 	var l *link.Link
+	at, lost := "", false // lost: the changes can no longer be followed from w.seq on
 	defer func() {
 		if l != nil {
 			l.Close()
@@ -122,8 +123,19 @@
 				continue
 			}
 		}
+		address, here, release := w.place.Now(ctx)
+		if address != at && l != nil {
+			l.Close()
+			l = nil
+		}
+		lost = lost || address != at && at != "" // the agent there may count its versions otherwise
+		at = address
 		var end link.End
-		if l, end = w.call(ctx, l, whole); end.Over() {
+		l, end = w.call(here, address, l, whole || lost)
+		moved := here.Err() != nil
+		release()
+		lost = lost && end.Over()
+		if end.Over() && !moved {
 			w.Failures.Add(1)
 			w.log(fmt.Sprintf("list: call failed: %s", end.How))
 			w.gate.ListFailed()
@@ -142,7 +154,7 @@
 }
 
 // call makes one call, on the connection that is open or on a new one, and takes its answer.
-func (w *Watch) call(ctx context.Context, l *link.Link, whole bool) (*link.Link, link.End) {
+func (w *Watch) call(ctx context.Context, address string, l *link.Link, whole bool) (*link.Link, link.End) {
 	path, wait := "/v1/servers", time.Duration(0)
 	if !whole {
 		wait = w.wait
@@ -155,12 +167,12 @@
 			l.Close()
 		}
 		var end link.End
-		if l, end = link.Dial(limited, w.address, w.limit, w.room); end.Over() {
+		if l, end = link.Dial(limited, address, w.limit, w.room); end.Over() {
 			return nil, end
 		}
 	}
 	l.Within(limited)
-	end := w.take(l, path)
+	end := w.take(l, address, path)
 	if !l.Release() || end.Over() {
 		l.Close()
 		l = nil
@@ -171,8 +183,8 @@
 	return l, end
 }
 
-func (w *Watch) take(l *link.Link, path string) link.End {
-	l.Put(http1.Request("GET", path, w.address, ""))
+func (w *Watch) take(l *link.Link, address, path string) link.End {
+	l.Put(http1.Request("GET", path, address, ""))
 	if end := l.Flush(); end.Over() {
 		return end
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -47,19 +47,19 @@
 
 // Desk speaks with the platform.
 type Desk struct {
-	gate    *gate.Gate
-	address string
-	limit   time.Duration // of a call
-	room    *link.Room
-	log     func(string)
-	votes   chan gate.Vote
+	gate  *gate.Gate
+	place *link.Place
+	limit time.Duration // of a call
+	room  *link.Room
+	log   func(string)
+	votes chan gate.Vote
 
 	Lines, Streams, Dropped atomic.Int64
 }
 
-// New makes a desk. A call may take as long as limit.
-func New(address string, limit time.Duration, room *link.Room, log func(string)) *Desk {
-	return &Desk{address: address, limit: limit, room: room, log: log, votes: make(chan gate.Vote, 4)}
+// New makes a desk for the platform at a place. A call may take as long as limit.
+func New(place *link.Place, limit time.Duration, room *link.Room, log func(string)) *Desk {
+	return &Desk{place: place, limit: limit, room: room, log: log, votes: make(chan gate.Vote, 4)}
 }
 
 // Vote casts a vote as soon as those before it have been answered. One too many is dropped: the
@@ -97,7 +97,9 @@
 func (d *Desk) cast(ctx context.Context, v gate.Vote) (status int, stage gate.Stage, end link.End) {
 	limited, cancel := context.WithTimeout(ctx, d.limit)
 	defer cancel()
-	l, end := link.Dial(limited, d.address, d.limit, d.room)
+	address, _, release := d.place.Now(ctx) // a vote under way ends where it was cast
+	defer release()
+	l, end := link.Dial(limited, address, d.limit, d.room)
 	if end.Over() {
 		return 0, stage, end
 	}
@@ -108,7 +110,7 @@
 		Wave     int
 		Decision string
 	}{v.Build, v.Stage, v.Verdict})
-	l.Put(http1.Request("POST", "/judgements", d.address, string(body)))
+	l.Put(http1.Request("POST", "/judgements", address, string(body)))
 	if end := l.Flush(); end.Over() {
 		return 0, stage, end
 	}
@@ -142,9 +144,12 @@
 func (d *Desk) follow(ctx context.Context) error {
 	for ctx.Err() == nil {
 		began := time.Now()
-		end := d.stream(ctx)
-		if ctx.Err() != nil {
-			return nil
+		address, here, release := d.place.Now(ctx)
+		end := d.stream(here, address)
+		moved := here.Err() != nil
+		release()
+		if moved || ctx.Err() != nil {
+			continue
 		}
 		d.log(fmt.Sprintf("platform: changes cut: %s", end.How))
 		select {
@@ -157,8 +162,8 @@
 
 // stream reads changes until the connection ends or gives no sign of life for as long as a call
 // may take; one comes every second.
-func (d *Desk) stream(ctx context.Context) link.End {
-	l, end := link.Dial(ctx, d.address, d.limit, d.room)
+func (d *Desk) stream(ctx context.Context, address string) link.End {
+	l, end := link.Dial(ctx, address, d.limit, d.room)
 	if end.Over() {
 		return end
 	}
@@ -166,7 +171,7 @@
 	d.Streams.Add(1)
 	l.Within(ctx)
 	l.Until(time.Now().Add(d.limit))
-	l.Put(http1.Request("GET", "/changes", d.address, ""))
+	l.Put(http1.Request("GET", "/changes", address, ""))
 	if end := l.Flush(); end.Over() {
 		return end
 	}
