Work on queries written behind one another at once; bound idle and half-open sessions

Now a session reads on while its commands are in work, each on a goroutine, and writes answers in their turn; an acked answer that must wait is copied, so that its unit connection is free. What a client leaves shows to the reader, so the second goroutine a command is gone. A quarter of the places may be idle and a quarter half open, the first of each gives way; an idle session is kept 2 s; a first command has 2 s. The nack beyond a fifth of the places is gone: when to shed load is the module's. A second command of an id that is open is an error. TestPipelined, TestSilentSessionsGiveWay and the case of one id fail without it.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -1,5 +1,5 @@
-// Package clients serves the sessions of clients: one goroutine each, one command at a time, answers
-// in the order of the queries.
+// Package clients serves the sessions of clients: one goroutine reads a session's queries, each command
+// has one of its own, and the answers go out in the order of the queries.
 package clients
 
 import (
@@ -22,9 +22,6 @@
 	"silvercove/internal/units"
 )
 
-// answerRoom is what an answer may take on its way: once as it came and once as it goes.
-const answerRoom = 2 * (pgwire.MostValue + 4<<10)
-
 // Front takes in connections of clients.
 type Front struct {
 	gate  *gate.Gate
@@ -32,33 +29,45 @@
 	room  *link.Room
 	most  int           // sessions at once
 	spare int           // beyond that, to be answered with a nack or to end
-	limit time.Duration // of a startup, and of a client's reading its answer
+	limit time.Duration // of a message's coming whole, and of a client's reading its answer
 	back  string        // for nacks for lack of places, in milliseconds
 
 	mu      sync.Mutex
-	ended   sync.Cond // a session has
-	open    int       // sessions
-	taken   int       // commands that wait for their answer
-	idle    list.List // those that wait for a command, the longest first
-	closing bool      // all close between commands
+	ended   sync.Cond           // a session has
+	open    int                 // sessions
+	ids     map[string]struct{} // of the open commands
+	idle    list.List           // sessions that wait for a command, the longest first
+	young   list.List           // sessions that have sent a part of a message or of their startup
+	closing bool                // all close between commands
 
 	Accepted, Malformed, Crowded, Evicted atomic.Int64
 }
 
+// session is one connection of a client. What is above the blank line is its reader's.
 type session struct {
 	*Front
 	*link.Link
-	place *list.Element // among the idle; guarded by Front.mu
-	close bool          // to be closed between commands
-	over  bool          // it came when there was no place: its commands are nacked
-
-	refused bool // what comes up to the end of an extended query is skipped
+	came     time.Time // when the last bytes did
+	last     chan struct{}
+	commands errgroup.Group
+	over     bool // it came when there was no place: its commands are nacked
+	refused  bool // what comes up to the end of an extended query is skipped
+
+	// Guarded by Front.mu.
+	since   time.Time                  // when it came, or its last command ended
+	served  bool                       // it has had a command
+	open    map[*gate.Command]struct{} // commands in work
+	waiting bool                       // for the first byte of a message
+	close   bool                       // to be closed between commands
+	in      *list.List                 // idle, young or none
+	place   *list.Element
 }
 
-// New makes a front for so many sessions at once. A client has limit for its startup, and as long
-// to read an answer. Who is nacked for lack of places is told to stay away for back.
+// New makes a front for so many sessions at once. A client has limit for each message, and as long to
+// read an answer. Who is nacked for lack of places is told to stay away for back.
 func New(g *gate.Gate, pools *units.Pools, room *link.Room, most int, limit, back time.Duration) *Front {
-	f := &Front{gate: g, pools: pools, room: room, most: most - most/spareOf, spare: most / spareOf, limit: limit}
+	f := &Front{gate: g, pools: pools, room: room, most: most - most/spareOf, spare: most / spareOf, limit: limit,
+		ids: map[string]struct{}{}}
 	if back > 0 {
 		f.back = strconv.FormatInt(back.Milliseconds(), 10)
 	}
@@ -67,8 +76,10 @@
 }
 
 const (
-	spareOf = 8 // one place in so many is spare
-	takenOf = 5 // and one in so many may hold a command
+	spareOf  = 8               // one place in so many is spare
+	idleOf   = 4               // one in so many may be idle, and one in so many half open
+	commands = 4               // that may be open for each place
+	keep     = 2 * time.Second // an idle session; and how long the first command may take to come
 )
 
 // Serve takes in connections until the listener is closed or its deadline passes, and waits for all
@@ -99,30 +110,62 @@
 	}
 }
 
-// enter makes a session. Where all places are taken, the one idle the longest has to go; where none
-// is idle, the new one is there to be nacked. It waits only while the spare places are taken too.
+// enter makes a session. Where all places are taken, one that has no command has to go; where there
+// is none, the new one is there to be nacked. It waits only while the spare places are taken too.
 func (f *Front) enter(conn net.Conn) *session {
-	s := &session{Front: f, Link: link.New(conn, f.room)}
+	s := &session{Front: f, Link: link.New(conn, f.room), last: make(chan struct{}), since: time.Now(),
+		open: map[*gate.Command]struct{}{}}
+	close(s.last)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for f.open >= f.most+f.spare {
-		f.evict()
+		f.yield()
 		f.ended.Wait()
 	}
-	s.over = f.open >= f.most && !f.evict()
+	s.over = f.open >= f.most && !f.yield()
 	f.open++
+	s.sort()
 	return s
 }
 
-// evict has the session end that is idle the longest.
-func (f *Front) evict() bool {
-	first := f.idle.Front()
-	if first == nil {
+// sort puts a session into the list that it belongs to now. Where that grows too long its first has to go:
+// clients have few connections, and the idle ones stand in the way of their commands.
+func (s *session) sort() {
+	in := &s.young
+	switch {
+	case len(s.open) > 0 || s.close:
+		in = nil
+	case s.waiting:
+		in = &s.idle
+	}
+	if in == s.in {
+		return
+	}
+	if s.in != nil {
+		s.in.Remove(s.place)
+	}
+	if s.in = in; in == nil {
+		return
+	}
+	s.place = in.PushBack(s)
+	if in.Len() > s.most/idleOf {
+		s.evict(in)
+	}
+}
+
+// yield has a session end: the one idle the longest, else the one whose message has been coming the
+// longest. Guards against clients that connect by the hundreds and say nothing, or a part.
+func (f *Front) yield() bool { return f.evict(&f.idle) || f.evict(&f.young) }
+
+// evict has the first session of a list end.
+func (f *Front) evict(of *list.List) bool {
+	if of.Len() == 0 {
 		return false
 	}
-	s := f.idle.Remove(first).(*session)
-	s.place, s.close = nil, true
-	s.Interrupt()
+	s := of.Front().Value.(*session)
+	s.close = true
+	s.sort()
+	s.StopReading()
 	f.Evicted.Add(1)
 	return true
 }
@@ -131,7 +174,7 @@
 func (f *Front) makeRoom() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.evict(); f.open > 0 {
+	if f.yield(); f.open > 0 {
 		f.ended.Wait()
 	}
 }
@@ -140,6 +183,8 @@
 	s.Close()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	s.close = true
+	s.sort()
 	f.open--
 	f.ended.Signal()
 }
@@ -149,7 +194,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.closing = true
-	for f.evict() {
+	for e := f.idle.Front(); e != nil; e = e.Next() {
+		e.Value.(*session).StopReading()
 	}
 }
 
@@ -160,7 +206,9 @@
 	return f.open
 }
 
+// serve reads a session's messages to its end and waits for its commands. A client that closes has gone.
 func (s *session) serve() {
+	defer s.commands.Wait()
 	if !s.greet() {
 		return
 	}
@@ -171,28 +219,28 @@
 		}
 		switch kind {
 		case 'Q':
-			if !s.query(size) {
-				return
-			}
+			ok = s.query(size)
 		case 'X':
+			s.gone()
 			return
 		case 'P', 'B', 'D', 'E', 'C', 'H', 'F', 'S':
-			if !s.extended(kind, size) {
-				return
-			}
+			ok = s.extended(kind, size)
 		case 'd', 'c', 'f':
-			s.Drop(size) // left from a copy that never began
+			ok = s.skip(size) // left from a copy that never began
 		default:
 			s.Malformed.Add(1)
 			s.say(pgwire.Problem("FATAL", pgwire.Violation, "unknown message", ""))
 			return
 		}
+		if !ok {
+			return
+		}
 	}
 }
 
 // greet takes the startup, within the time limit.
 func (s *session) greet() bool {
-	s.Until(time.Now().Add(s.limit))
+	until := s.by()
 	for {
 		start, size, err := pgwire.Startup(s.Bytes())
 		switch {
@@ -200,8 +248,8 @@
 			s.Malformed.Add(1)
 			s.say(pgwire.Problem("FATAL", pgwire.Violation, "malformed startup", ""))
 			return false
-		case size == 0: // not to be evicted: a command may be right behind
-			if s.Fill(0).Over() {
+		case size == 0:
+			if !s.more(0, until) {
 				return false
 			}
 			continue
@@ -221,15 +269,27 @@
 	}
 }
 
-// say writes at once.
+// say writes at once, behind the answers to what came before.
 func (s *session) say(parts ...[]byte) bool {
+	<-s.last
 	s.Put(parts...)
-	s.Until(time.Now().Add(s.limit))
+	s.WriteBy(time.Now().Add(s.limit))
 	return !s.Flush().Over()
 }
 
+// by is when a message that begins now is to be whole.
+func (s *session) by() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.served {
+		return s.since.Add(keep)
+	}
+	return time.Now().Add(s.limit)
+}
+
 // next waits for the head of the next message.
 func (s *session) next() (kind byte, size int, ok bool) {
+	var until time.Time
 	for {
 		kind, size, err := pgwire.FromClient(s.Bytes())
 		switch {
@@ -241,9 +301,9 @@
 			return kind, size, true
 		case len(s.Bytes()) == 0:
 			ok = s.wait()
+			until = s.by()
 		default:
-			s.Until(time.Now().Add(s.limit))
-			ok = !s.Fill(0).Over()
+			ok = s.more(0, until)
 		}
 		if !ok {
 			return 0, 0, false
@@ -251,41 +311,93 @@
 	}
 }
 
-// wait waits for the first byte of a message. Only here a session is closed by this side, and not
-// if a byte has come by then.
+// wait waits for the first byte of a message. Only here a session without a command is closed by this
+// side, and not if a byte has come by then.
 func (s *session) wait() bool {
+	for {
+		s.mu.Lock()
+		s.waiting = true
+		s.sort()
+		until := time.Now().Add(keep)
+		if len(s.open) == 0 {
+			until = s.since.Add(keep)
+		}
+		s.ReadBy(until)
+		if (s.close || s.closing) && len(s.open) == 0 {
+			s.StopReading()
+		}
+		s.mu.Unlock()
+		end := s.fill(0)
+		s.mu.Lock()
+		s.waiting = false
+		stays := len(s.open) > 0 || !s.close && !s.closing && time.Now().Before(s.since.Add(keep))
+		s.sort()
+		s.mu.Unlock()
+		switch {
+		case end.How != link.Late:
+			return s.still(end)
+		case !s.Quiet():
+			return s.more(0, s.by())
+		case !stays:
+			return false
+		}
+	}
+}
+
+// more waits for more of a message, of want bytes in all if that is known. A session that is to be
+// closed meanwhile ends if nothing more has come by then.
+func (s *session) more(want int, until time.Time) bool {
 	s.mu.Lock()
-	s.Resume()
-	if s.close || s.closing {
-		s.Interrupt()
-	} else {
-		s.place = s.idle.PushBack(s)
+	s.ReadBy(until)
+	if s.close {
+		s.StopReading()
 	}
 	s.mu.Unlock()
-	end := s.Fill(0)
+	end := s.fill(want)
+	if end.How == link.Late && time.Now().Before(until) && !s.Quiet() {
+		s.ReadBy(until)
+		end = s.fill(want)
+	}
+	return s.still(end)
+}
+
+func (s *session) fill(want int) link.End {
+	end := s.Fill(want)
+	s.came = time.Now().Add(-s.Waited())
+	return end
+}
+
+// still tells whether a session goes on after a read. If the client has closed, it has gone away.
+func (s *session) still(end link.End) bool {
+	if end.How == link.Closed || end.How == link.Broke {
+		s.gone()
+	}
+	return !end.Over()
+}
+
+// gone tells the gate that the client has left its commands.
+func (s *session) gone() {
 	s.mu.Lock()
-	if s.place != nil {
-		s.idle.Remove(s.place)
-		s.place = nil
+	all := make([]*gate.Command, 0, len(s.open))
+	for c := range s.open {
+		all = append(all, c)
 	}
 	s.mu.Unlock()
-	if end.How == link.Late && !s.Quiet() {
-		s.Resume()
-		end = s.Fill(0)
+	for _, c := range all {
+		s.gate.Leave(c)
 	}
-	return !end.Over()
 }
 
-// skip drops a message that does not fit into the ring.
+// skip drops a message that is not to be read whole.
 func (s *session) skip(size int) bool {
+	until := s.by()
 	for {
 		n := min(size, len(s.Bytes()))
 		s.Drop(n)
 		if size -= n; size == 0 {
 			return true
 		}
-		s.Until(time.Now().Add(s.limit))
-		if s.Fill(0).Over() {
+		if !s.more(0, until) {
 			return false
 		}
 	}
@@ -293,9 +405,9 @@
 
 // whole reads a message to its end.
 func (s *session) whole(size int) bool {
-	s.Until(time.Now().Add(s.limit))
+	until := s.by()
 	for len(s.Bytes()) < size {
-		if s.Fill(size).Over() {
+		if !s.more(size, until) {
 			return false
 		}
 	}
@@ -324,122 +436,152 @@
 // query reads one query and has it answered.
 func (s *session) query(size int) bool {
 	if size > pgwire.MostQuery {
-		s.Malformed.Add(1)
-		return s.skip(size) && s.say(pgwire.Problem("ERROR", pgwire.TooLong, "query too long", ""), pgwire.Ready())
+		return s.skip(size) && s.wrong(pgwire.TooLong, "query too long")
 	}
-	if s.over || !s.begin() {
-		return s.crowded(size)
+	if s.over || !s.room.Take(size) {
+		return s.skip(size) && s.crowded()
 	}
-	defer s.end()
-	if !s.room.Take(size) {
-		return s.crowded(size)
-	}
-	defer s.room.Give(size)
 	if !s.whole(size) {
+		s.room.Give(size)
 		return false
 	}
-	if !s.room.Take(answerRoom) {
-		return s.crowded(size)
+	text, ended := bytes.CutSuffix(bytes.Clone(s.Bytes()[pgwire.HeadSize:size]), []byte{0})
+	s.Drop(size)
+	started, going := s.begin(text, ended, size)
+	if !started {
+		s.room.Give(size)
 	}
-	defer s.room.Give(answerRoom)
-	came := time.Now().Add(-s.Waited())
-	text, ended := bytes.CutSuffix(s.Bytes()[pgwire.HeadSize:size], []byte{0})
+	return going
+}
+
+// begin starts a command, or answers what is none.
+func (s *session) begin(text []byte, ended bool, size int) (started, going bool) {
 	if ended && len(bytes.Trim(text, " ;\t\r\n")) == 0 {
-		s.Drop(size)
-		return s.say(pgwire.EmptyAnswer())
+		return false, s.say(pgwire.EmptyAnswer())
 	}
 	q, fault := pgwire.ParseQuery(text)
-	if !ended || fault != nil {
-		if fault == nil {
-			fault = &pgwire.Fault{Code: pgwire.Violation, Text: "the query has no end"}
-		}
-		s.Malformed.Add(1)
-		s.Drop(size)
-		return s.say(pgwire.Problem("ERROR", fault.Code, fault.Text, ""), pgwire.Ready())
+	switch {
+	case fault != nil:
+		return false, s.wrong(fault.Code, fault.Text)
+	case !ended:
+		return false, s.wrong(pgwire.Violation, "the query has no end")
+	}
+	cmd, ok := s.gate.Take(gate.Ask{OpType: q.OpType, Customer: q.Customer, Key: q.Key, Came: s.came,
+		Wait: time.Duration(q.WaitMs) * time.Millisecond, Work: time.Duration(q.WorkUs) * time.Microsecond,
+		Write: q.Write, Repeated: q.Repeated})
+	if !ok {
+		return false, s.wrong(pgwire.BadParameter, "unknown op type")
 	}
-	going := s.command(q, came)
-	s.Drop(size)
-	return going
-}
-
-// begin counts one more open command, if enough of the places are free of them. Clients open a
-// connection for each command that waits; after a hiccup those thousands would cost more than the
-// commands themselves, and it would never end.
-func (s *session) begin() bool {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if takenOf*s.taken >= s.most {
-		return false
+	_, twice := s.ids[q.ID]
+	full := len(s.ids) >= commands*s.most
+	if !twice && !full {
+		s.ids[q.ID], s.open[cmd], s.served = struct{}{}, struct{}{}, true
+		s.sort()
 	}
-	s.taken++
-	return true
+	s.mu.Unlock()
+	switch {
+	case twice: // an answer must not go to whoever names another's command
+		return false, s.wrong(pgwire.BadParameter, "a command of this id is open")
+	case full:
+		return false, s.crowded()
+	}
+	turn, next := s.last, make(chan struct{})
+	s.last = next
+	s.commands.Go(func() error {
+		s.command(cmd, q, turn)
+		close(next)
+		s.end(cmd, q.ID)
+		s.room.Give(size)
+		return nil
+	})
+	return true, true
 }
 
-func (s *session) end() {
-	s.mu.Lock()
-	s.taken--
-	s.mu.Unlock()
+// wrong answers what cannot be served.
+func (s *session) wrong(code, text string) bool {
+	s.Malformed.Add(1)
+	return s.say(pgwire.Problem("ERROR", code, text, ""), pgwire.Ready())
 }
 
-// crowded nacks a query for which there are no buffers.
-func (s *session) crowded(size int) bool {
+// crowded nacks a query for which there is no place or buffer.
+func (s *session) crowded() bool {
 	s.Crowded.Add(1)
 	s.mu.Lock()
 	s.close = s.close || s.over
 	s.mu.Unlock()
-	return s.skip(size) && s.say(pgwire.Problem("ERROR", pgwire.NoRoom, "no room", s.back), pgwire.Ready())
+	return s.say(pgwire.Problem("ERROR", pgwire.NoRoom, "no room", s.back), pgwire.Ready())
 }
 
-// command is the path of one command: as often as the module says, a delivery; then its answer.
-func (s *session) command(q *pgwire.Query, came time.Time) bool {
-	cmd, ok := s.gate.Take(gate.Ask{OpType: q.OpType, Customer: q.Customer, Key: q.Key, Came: came,
-		Wait: time.Duration(q.WaitMs) * time.Millisecond, Work: time.Duration(q.WorkUs) * time.Microsecond,
-		Write: q.Write, Repeated: q.Repeated})
-	if !ok {
-		s.Malformed.Add(1)
-		return s.say(pgwire.Problem("ERROR", pgwire.BadParameter, "unknown op type", ""), pgwire.Ready())
+// end takes a command off the open ones.
+func (s *session) end(cmd *gate.Command, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.ids, id)
+	delete(s.open, cmd)
+	if len(s.open) > 0 {
+		return
+	}
+	s.since = time.Now()
+	if s.sort(); s.waiting && (s.close || s.closing) {
+		s.StopReading()
 	}
-	stop := s.watch(cmd)
+}
+
+// command is the path of one command: as often as the module says, a delivery; then its answer, when
+// those before it have been written.
+func (s *session) command(cmd *gate.Command, q *pgwire.Query, turn <-chan struct{}) {
 	step := s.gate.Pick(cmd)
-	for acked := false; step.Delivery != nil && !acked; {
+	for step.Delivery != nil {
 		r := s.pools.Deliver(step.Delivery, q)
-		if acked = s.gate.Report(step.Delivery, r.State, r.End, r.Load); acked {
-			s.Put(r.Rows...)
+		if s.gate.Report(step.Delivery, r.State, r.End, r.Load) {
+			s.pass(r, turn)
+			return
 		}
 		r.Done()
-		if !acked {
-			step = s.gate.Pick(cmd)
-		}
+		step = s.gate.Pick(cmd)
 	}
-	stop()
 	switch step.Final {
 	case gate.Gone:
-		return false
+		<-turn
 	case gate.Nacked:
 		back := ""
 		if step.ComeBack > 0 {
 			back = strconv.FormatInt(step.ComeBack.Milliseconds(), 10)
 		}
-		s.Put(pgwire.Problem("ERROR", pgwire.NoRoom, "not now", back))
+		s.write(turn, pgwire.Problem("ERROR", pgwire.NoRoom, "not now", back))
 	case gate.Failed:
-		s.Put(pgwire.Problem("ERROR", pgwire.Failed, "no answer; it may have run", ""))
+		s.write(turn, pgwire.Problem("ERROR", pgwire.Failed, "no answer; it may have run", ""))
 	}
-	return s.say(pgwire.Ready())
 }
 
-// watch tells the gate if the client closes its connection, until it is stopped.
-func (s *session) watch(cmd *gate.Command) (stop func()) {
-	s.Resume()
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		if s.Await() {
-			s.gate.Leave(cmd)
+// pass passes an acked answer on. A unit's connection waits for the answers before it only where there
+// is no room for a copy.
+func (s *session) pass(r units.Reply, turn <-chan struct{}) {
+	select {
+	case <-turn:
+	default:
+		rows := bytes.Join(r.Rows, nil)
+		if s.room.Take(len(rows)) {
+			defer s.room.Give(len(rows))
+			r.Done()
+			s.write(turn, rows)
+			return
 		}
-	}()
-	return func() {
-		s.Interrupt()
-		<-done
-		s.Resume()
+	}
+	s.write(turn, r.Rows...)
+	r.Done()
+}
+
+// write writes an answer in its turn. A client that does not read it loses its session.
+func (s *session) write(turn <-chan struct{}, parts ...[]byte) {
+	<-turn
+	s.Put(parts...)
+	s.Put(pgwire.Ready())
+	s.WriteBy(time.Now().Add(s.limit))
+	if s.Flush().Over() {
+		s.mu.Lock()
+		s.close = true
+		s.mu.Unlock()
 	}
 }
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -18,7 +19,10 @@
 	"silvercove/internal/units"
 )
 
-const asks = "SELECT content FROM kv WHERE name = '7f3a' /* id=9b1f,c=read,t=acme,d=3000 */"
+const (
+	asks  = "SELECT content FROM kv WHERE name = '7f3a' /* id=9b1f,c=read,t=acme,d=3000 */"
+	other = "SELECT content FROM kv WHERE name = '7f3a' /* id=07,c=read,t=acme,d=3000 */"
+)
 
 func message(kind byte, body string) string {
 	return string(binary.BigEndian.AppendUint32([]byte{kind}, uint32(4+len(body)))) + body
@@ -31,6 +35,8 @@
 type unit struct {
 	net.Listener
 	answer           string
+	together         atomic.Int32 // it answers once so many queries have come
+	all              sync.WaitGroup
 	conns, questions atomic.Int32
 }
 
@@ -50,7 +56,10 @@
 				if _, err := c.Read(b); err != nil || b[0] != 'Q' {
 					return
 				}
-				u.questions.Add(1)
+				if u.questions.Add(1) <= u.together.Load() {
+					u.all.Done()
+					u.all.Wait()
+				}
 				if u.answer == "" {
 					return
 				}
@@ -126,7 +135,9 @@
 	for _, c := range []struct{ name, unit, send, get string }{
 		{"empty query right behind the startup", row + ready, message('Q', "\x00"), string(pgwire.EmptyAnswer())},
 		{"acked byte for byte", row + ready, message('Q', asks+"\x00"), row + ready},
-		{"two queries at once", row + ready, strings.Repeat(message('Q', asks+"\x00"), 2), row + ready + row + ready},
+		{"two queries at once", row + ready, message('Q', asks+"\x00") + message('Q', other+"\x00"), row + ready + row + ready},
+		{"two queries of one id at once", row + ready, strings.Repeat(message('Q', asks+"\x00"), 2),
+			row + ready + no("ERROR", pgwire.BadParameter, "a command of this id is open") + ready},
 		{"no unit answers an at-most-once command", "", message('Q', strings.Replace(asks, "c=read", "c=sell", 1)+"\x00"),
 			no("ERROR", pgwire.Failed, "no answer; it may have run") + ready},
 		{"unknown op type", row + ready, message('Q', strings.Replace(asks, "c=read", "c=x", 1)+"\x00"),
@@ -205,3 +216,40 @@
 		t.Error("no session was evicted")
 	}
 }
+
+// Queries written behind one another are in work at once and answered in their order.
+func TestPipelined(t *testing.T) {
+	address, u, _ := relay(t, 16, row+string(pgwire.Ready()))
+	c := dial(t, address)
+	io.WriteString(c, string(pgwire.Hail())+message('Q', asks+"\x00")) // an answer makes room at the unit for more
+	want(t, c, string(pgwire.Hello())+row+string(pgwire.Ready()))
+	io.WriteString(c, message('Q', other+"\x00"))
+	want(t, c, row+string(pgwire.Ready()))
+	u.together.Store(u.questions.Load() + 2)
+	u.all.Add(2)
+	io.WriteString(c, message('Q', asks+"\x00")+message('Q', other+"\x00")+message('Q', "\x00"))
+	want(t, c, strings.Repeat(row+string(pgwire.Ready()), 2)+string(pgwire.EmptyAnswer()))
+}
+
+// Clients that connect and say nothing, or a part, give way and are closed soon.
+func TestSilentSessionsGiveWay(t *testing.T) {
+	address, _, f := relay(t, 8, row+string(pgwire.Ready()))
+	first := dial(t, address)
+	io.WriteString(first, string(pgwire.Hail())+message('Q', asks)[:20])
+	began := time.Now()
+	for range 7 {
+		dial(t, address)
+	}
+	c := dial(t, address)
+	io.WriteString(c, string(pgwire.Hail())+message('Q', asks+"\x00"))
+	want(t, c, string(pgwire.Hello())+row+string(pgwire.Ready()))
+	if b, err := io.ReadAll(first); err != nil || len(b) > 0 {
+		t.Errorf("the oldest session got %q, %v", b, err)
+	}
+	if f.Evicted.Load() == 0 {
+		t.Error("no session was evicted")
+	}
+	if b, err := io.ReadAll(c); err != nil || len(b) > 0 || time.Since(began) > 2*keep {
+		t.Errorf("an idle session got %q, %v after %v", b, err, time.Since(began))
+	}
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -47,11 +48,11 @@
 // Over tells whether it has ended at all.
 func (e End) Over() bool { return e.How != Open }
 
-// Link is one connection. One goroutine at a time may use it; Interrupt may come from any.
+// Link is one connection. One goroutine at a time may read and one may write; deadlines may be set by any.
 type Link struct {
 	conn    net.Conn // a TCP connection, for what the kernel tells of it
 	in, out ring
-	sent    bool
+	sent    atomic.Bool
 	gone    context.Context // whose end calls the work on this connection off
 	stop    func() bool
 }
@@ -106,10 +107,16 @@
 }
 
 // Interrupt ends a blocked read or write.
-func (l *Link) Interrupt() { l.conn.SetDeadline(time.Unix(1, 0)) }
+func (l *Link) Interrupt() { l.conn.SetDeadline(past) }
 
-// Resume allows reading and writing again after Interrupt.
-func (l *Link) Resume() { l.conn.SetDeadline(time.Time{}) }
+var past = time.Unix(1, 0)
+
+// ReadBy sets a time limit for reading, WriteBy one for writing.
+func (l *Link) ReadBy(at time.Time)  { l.conn.SetReadDeadline(at) }
+func (l *Link) WriteBy(at time.Time) { l.conn.SetWriteDeadline(at) }
+
+// StopReading ends a blocked read.
+func (l *Link) StopReading() { l.conn.SetReadDeadline(past) }
 
 // Until sets a time limit of its own.
 func (l *Link) Until(at time.Time) { l.conn.SetDeadline(at) }
@@ -149,18 +156,18 @@
 
 // Flush writes all that was put.
 func (l *Link) Flush() End {
-	l.sent = false
+	l.sent.Store(false)
 	for l.out.n > 0 {
 		p := l.out.buf[l.out.at:min(l.out.at+l.out.n, len(l.out.buf))]
 		n, err := l.conn.Write(p)
 		l.out.drop(n)
 		if err != nil {
-			l.sent = l.out.n == 0
+			l.sent.Store(l.out.n == 0)
 			return l.ended(err)
 		}
 	}
 	l.out.free()
-	l.sent = true
+	l.sent.Store(true)
 	return End{}
 }
 
@@ -170,33 +177,15 @@
 		return End{}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		if l.gone.Err() != nil {
-			return End{whyOver(l.gone), l.sent}
+			return End{whyOver(l.gone), l.sent.Load()}
 		}
-		return End{Late, l.sent}
+		return End{Late, l.sent.Load()}
 	case errors.Is(err, io.EOF):
-		return End{Closed, l.sent}
-	}
-	return End{Broke, l.sent}
-}
-
-// Await waits until the other side has closed the connection, whatever is still to be read. It
-// ends early by Interrupt.
-func (l *Link) Await() (closed bool) {
-	raw, err := l.conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
+		return End{Closed, l.sent.Load()}
 	}
-	raw.Read(func(fd uintptr) bool {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		closed = err != nil || info.State != established
-		return closed
-	})
-	return closed
+	return End{Broke, l.sent.Load()}
 }
 
-// established is the kernel's number for a connection that neither side has closed.
-const established = 1
-
 // Waited tells how long ago the last bytes came, read by now or not. It shows what this process
 // slept through.
 func (l *Link) Waited() time.Duration {
--- a/internal/pgwire/message.go
+++ b/internal/pgwire/message.go
@@ -16,7 +16,7 @@
 	mostStartup = 10 << 10            // of a startup message, as PostgreSQL has it
 	mostMessage = MostValue + 4<<10   // of one message from a unit
 	HeadSize    = 5                   // of a message: its kind and length
-	mostSkipped = 16 << 20            // of a message that is skipped to be refused
+	mostSkipped = 1 << 20             // of a message that is skipped to be refused
 	head        = 5                   // a message's kind and length
 	mostExtra   = 64                  // messages beside the row in one answer
 	protocol3   = 3 << 16             // codes of a startup message
