Judge builds by errors apart from resets, with fresh tests, at the stage that the list shows

The relays were told of stage 1 only and voted on it until the good build was taken off; the votes were answered 409. consider took the told stage. Now resets have a stream of their own (0.25 above the earlier build's share), slowness is gated by what is acked, a new test takes the place of the poorest of the later 16, the stage is what the list shows if that is later than the told one, and a vote back answered as moot goes to the next stage. The five new or changed tests of the module fail without it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -34,7 +34,7 @@
 	drawnOut    = 3    // times the middle time before the trial is slow
 	burden      = 0.22 // of slowness: by the greater load of units on trial
 	excuse      = 0.1  // of slowness: by the fleet's own rise in a trial
-	burst       = 1.2  // times what was asked before the trial: slowness is the callers' doing
+	burst       = 1.2  // times what was acked before the trial: slowness is the callers' doing
 	fewSay      = 4    // relays that log what many see
 	kept        = 64   // samples of an op type at one build
 	keptFlags   = 512  // flags are rare
@@ -373,17 +373,23 @@
 	if !d.slow && !(slow && d.first) {
 		r.pace(d, slow)
 	}
-	j, x, op := r.judged, 0.0, d.Cmd.OpType
-	if d.ending == Errored || d.ending == Reset && r.now-r.compared <= Second { // see docs/design.md
+	j, op, broke, x, y := r.judged, d.Cmd.OpType, len(r.opTypes)+2, 0.0, 0.0
+	switch d.ending {
+	case Errored:
 		x = 1
-	}
-	if d.ending == Acked {
+	case Reset:
+		y = 1
+	case Acked:
 		r.answer(d.build, 0)
 	}
 	switch {
 	case d.build < j.build:
 		r.base.add(op, x, kept)
+		r.base.add(broke, y, keptFlags)
 	case d.build == j.build:
+		if j.sample.add(broke, y, keptFlags); r.now-r.compared <= Second { // see docs/design.md
+			r.see(1+broke, y, r.share(broke)+demoted)
+		}
 		j.sample.add(op, x, kept)
 		j.inStage++
 		r.note(op, x)
@@ -407,7 +413,7 @@
 		r.compared = r.now
 	case d.build == j.build:
 		j.sample.add(last, x, kept)
-		if float64(len(r.asked)) <= max(1, r.whole)*(burst*j.asked+3*math.Sqrt(j.asked))/j.whole {
+		if float64(len(r.acks)) <= max(1, r.whole)*(burst*j.acked+3*math.Sqrt(j.acked))/j.whole {
 			r.see(1+last, x, min(r.share(last), j.before+excuse)+burden+margin)
 		}
 	}
@@ -487,20 +493,20 @@
 	j := r.judged
 	s := &j.streams[which]
 	if n, wealth, ok := s.see(x, min(b, 0.9)); ok && j.alarm == "" {
-		name := streamName(which, len(r.opTypes))
-		j.alarm = fmt.Sprintf("%s: test %d of %d, wealth %.3g against a share of %.3f", name, n, s.n, wealth, b)
+		j.alarm = fmt.Sprintf("%s: test %d of %d, wealth %.3g against a share of %.3f",
+			streamName(which, len(r.opTypes)), n, s.n, wealth, b)
 		r.say(fmt.Sprintf("build %d alarm on %s", j.build, j.alarm))
 	}
 }
 
-// see opens a test with this outcome, where there is room, and bets in all.
+// see opens a test with this outcome, if need be in place of the poorest of the later ones, and bets in all.
 func (s *stream) see(x, b float64) (start int, wealth float64, alarm bool) {
 	s.n++
 	opened := test{start: s.n, wealth: 1}
 	if len(s.tests) < mostTests {
 		s.tests = append(s.tests, opened)
-	} else if s.n >= 2*mostTests && s.n&(s.n-1) == 0 {
-		s.tests[mostTests-1] = opened
+	} else if weak := weakest(s.tests[mostTests/2:]); weak.wealth < 1 {
+		*weak = opened
 	}
 	for i := range s.tests {
 		t := &s.tests[i]
@@ -636,9 +642,9 @@
 	}
 	ops := len(r.opTypes)
 	r.tell = make([]byte, 2*ops+2)
-	r.judged = &trial{build: build, sample: newSample(ops), streams: make([]stream, ops+3),
-		before: r.share(ops + 1), middle: slices.Clone(r.middle), asked: float64(len(r.asked)),
-		whole: max(1, r.whole)}
+	r.judged = &trial{build: build, sample: newSample(ops), streams: make([]stream, ops+4),
+		before: r.share(ops + 1), middle: slices.Clone(r.middle), acked: float64(len(r.acks)),
+		whole: max(1, r.whole), places: float64(len(r.units) - r.running(build))}
 	for i := range r.judged.streams {
 		r.judged.streams[i].level = alpha / float64(ops)
 	}
@@ -657,7 +663,7 @@
 		old := r.news
 		if !r.told || old.Build != news.Build || old.Stage != news.Stage || old.Phase != news.Phase {
 			r.since = now - news.Age
-			r.judged.inStage = 0
+			r.judged.inStage, r.judged.stage = 0, news.Stage
 			maps.DeleteFunc(r.forward, func(_ uint64, by uint16) bool { return by < news.Build })
 		}
 		if bound, _ := r.capOf(news.Build); r.told && old.Phase != Released && news.Cap < bound {
@@ -693,7 +699,26 @@
 	return NoVote
 }
 
+// stage is where the newest build stands: as told, or as far as the list shows more units of it than the
+// told stage has, or a vote back found stages passed. Guards against late news: a vote on a stage that has
+// passed does not count. Where units of the build start anew under other names, votes may come too early.
+func (r *Relay) stage() int {
+	j, at := r.judged, r.news.Stage
+	if j == nil || j.build != r.news.Build || r.news.Phase != OnTrial {
+		return at
+	}
+	at = max(at, j.past)
+	for at+1 < r.stages() && float64(r.running(j.build)) > math.Ceil(r.part(at)*j.places) {
+		at++
+	}
+	if at > j.stage {
+		j.stage, j.inStage, r.since = at, 0, r.now
+	}
+	return at
+}
+
 func (r *Relay) consider() {
+	at := r.stage()
 	want, v := r.verdict(), &r.ballot
 	if want == NoVote {
 		if v.state == drawn {
@@ -701,8 +726,8 @@
 		}
 		return
 	}
-	if v.state == noBallot || v.verdict != want || v.build != r.news.Build || v.stage != r.news.Stage {
-		*v = ballot{build: r.news.Build, stage: r.news.Stage, verdict: want, state: drawn}
+	if v.state == noBallot || v.verdict != want || v.build != r.news.Build || v.stage != at {
+		*v = ballot{build: r.news.Build, stage: at, verdict: want, state: drawn}
 		// The moment is random over the time the platform needs for a vote of every
 		// relay, at most a vote's life: spread further, votes would only come later.
 		relays, rate := max(1, r.num("relays")), max(0.1, r.num("rollout.votes_per_s"))
@@ -735,6 +760,9 @@
 		return
 	}
 	v.state, v.at = stands, r.now+r.span("rollout.vote_life")
+	if ending == Moot && v.verdict == GoBack { // that stage has passed
+		r.judged.past = (v.stage + 1) % r.stages()
+	}
 	if ending != Acked { // it may not count: again, after a moment
 		v.at = r.now + Second/4 + Tick(r.chance(int(Second/2)))
 	}
@@ -761,36 +789,6 @@
 	}
 }
 
-// Told takes the counts of another relay: outcomes like its own, the bad ones spread
-// evenly. A relay sees a part of the traffic only; together they see a bad build sooner.
-func (r *Relay) Told(now Tick, from uint32, data []byte) {
-	r.now = now
-	ops := len(r.opTypes)
-	if r.judged == nil || len(data) != 4+2*ops || uint16(data[0])|uint16(data[1])<<8 != r.judged.build {
-		return
-	}
-	for which := range ops + 1 {
-		if which < ops {
-			r.judged.inStage += int(data[2+2*which])
-		}
-		n, bad := int(data[2+2*which]), int(data[3+2*which])
-		for i := range n {
-			x := float64((i+1)*bad/n - i*bad/n)
-			if which < ops {
-				r.see(0, x, r.edge(-1, which))
-			}
-			r.see(1+which, x, r.edge(which, which))
-		}
-	}
-	r.consider()
-}
-
-// share is the part of bad ones among the earlier build's outcomes of one kind, or of all (-1).
-func (r *Relay) share(which int) float64 {
-	bad, n := r.base.count(which)
-	return (bad + 0.5) / (n + 1)
-}
-
 // figure works out, a few times a second, how long deliveries took of late.
 func (r *Relay) figure() {
 	for op, took := range r.took {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -42,13 +42,98 @@
 }
 
 func TestOpenTests(t *testing.T) {
-	for _, c := range []struct{ outcomes, newest int }{{1, 1}, {32, 32}, {33, 32}, {63, 32}, {64, 64}, {65, 64}, {127, 64}, {128, 128}, {300, 256}} {
+	for _, n := range []int{1, 32, 33, 64, 300} {
 		s := stream{level: alpha}
-		for range c.outcomes {
+		for range n {
 			s.see(0, 0.1)
 		}
-		check(t, "open tests", len(s.tests), min(c.outcomes, 32))
-		check(t, "newest test", s.tests[len(s.tests)-1].start, c.newest)
+		check(t, "open tests", len(s.tests), min(n, 32))
+		newest := slices.MaxFunc(s.tests, func(a, b test) int { return a.start - b.start })
+		check(t, "newest test", newest.start, n)
+		check(t, "the first tests stay", s.tests[min(n, 16)-1].start, min(n, 16))
+	}
+}
+
+// A build that turns bad after many good outcomes is found by tests that were opened then.
+func TestLateFaultIsFound(t *testing.T) {
+	for _, good := range []int{100, 500, 900} {
+		s, n := stream{level: alpha}, 0
+		for range good {
+			s.see(0, 0.32)
+		}
+		for alarm := false; !alarm && n < 200; n++ { // seven of ten are slow
+			_, _, alarm = s.see(float64((n*7)%10/3&1|(n*7)%10/6&1), 0.32)
+		}
+		if n > 100 {
+			t.Errorf("after %d good outcomes: found after %d", good, n)
+		}
+	}
+}
+
+// Resets of a network that breaks connections of all builds hide no errors, and are no fault of a build.
+func TestResetsHideNoErrors(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		errors int // one in so many at the trial build
+		alarm  bool
+	}{{"resets at both builds", 0, false}, {"and errors at the later one", 6, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(nil)
+			b.news(1, 0, Released, 1)
+			b.news(2, 0, OnTrial, 0.2)
+			for build := uint16(1); build <= 2; build++ {
+				for i := range 200 {
+					e := Acked
+					switch {
+					case i%7 == 0:
+						e = Reset
+					case build == 2 && c.errors > 0 && i%c.errors == 1:
+						e = Errored
+					}
+					d := &Delivery{Cmd: &Command{answered: true}, To: &Unit{heard: b.now}, sent: b.now, due: b.now + 1,
+						build: build, ending: e}
+					b.count(d, false)
+				}
+				b.now += 2 * Second // it has been released meanwhile
+				b.Relay.now = b.now
+			}
+			check(t, "alarm", b.judged.alarm != "", c.alarm)
+		})
+	}
+}
+
+// Where news is late the list shows the stage, and a vote back finds the stage by what it is answered.
+func TestStageBeforeTheNews(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		more   int // units of the build listed
+		k      int // one in so many outcomes fails
+		moot   bool
+		stages []int
+	}{
+		{"as told", 1, 0, false, []int{0}},
+		{"more units than the stage has", 2, 0, false, []int{1}},
+		{"a vote back of a stage that has passed", 1, 3, true, []int{0, 1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(nil)
+			b.news(1, 0, Released, 1)
+			for i := range uint32(8) {
+				b.unit(i, 1, 0)
+			}
+			b.outcomes(1, 200, 0)
+			b.news(2, 0, OnTrial, 0.2)
+			for i := range c.more {
+				b.unit(uint32(10+i), 2, 0)
+			}
+			b.outcomes(2, 30, c.k)
+			b.pass(Second / 10)
+			if c.moot {
+				b.Stage(b.now, StageNews{Answer: true, Ending: Moot})
+				b.pass(Second)
+			}
+			check(t, "stages voted on", fmt.Sprint(b.host.stages), fmt.Sprint(c.stages))
+		})
 	}
 }
 
@@ -327,18 +412,16 @@
 func TestSlownessInABurst(t *testing.T) {
 	for _, c := range []struct {
 		name  string
-		asked int
+		acked int
 		alarm bool
 	}{{"as many as before", 20, true}, {"a burst", 60, false}} {
 		t.Run(c.name, func(t *testing.T) {
 			b := newBench(nil)
 			b.news(1, 0, Released, 1)
-			for range 20 {
-				b.take(redeliverable)
-			}
 			b.outcomes(1, 100, 0)
+			b.acks = b.acks[:20]
 			b.news(2, 0, OnTrial, 0.2)
-			b.asked = make([]Tick, c.asked)
+			b.acks = make([]Tick, c.acked)
 			for range 100 {
 				d := &Delivery{Cmd: &Command{answered: true}, To: &Unit{}, sent: b.now - 9000, due: b.now - 1, build: 2}
 				b.pace(d, true)
--- a/choice/help.go
+++ b/choice/help.go
@@ -60,13 +60,13 @@
 }
 
 // sample is the last outcomes at one build, 1 for a bad one: for each op type, then
-// flags among answers, then slow ones among deliveries.
+// flags among answers, then slow ones among deliveries, then resets among them.
 type sample struct {
 	bad [][]float64
 }
 
 func newSample(opTypes int) *sample {
-	return &sample{bad: make([][]float64, opTypes+2)}
+	return &sample{bad: make([][]float64, opTypes+3)}
 }
 
 func (s *sample) add(which int, bad float64, most int) {
@@ -76,7 +76,7 @@
 // count counts the bad ones and all of them, for all op types together with -1.
 func (s *sample) count(which int) (bad, n float64) {
 	for i, outcomes := range s.bad {
-		if which == i || which < 0 && i < len(s.bad)-2 {
+		if which == i || which < 0 && i < len(s.bad)-3 {
 			bad += mean(outcomes) * float64(len(outcomes))
 			n += float64(len(outcomes))
 		}
@@ -84,6 +84,46 @@
 	return bad, n
 }
 
+// share is the part of bad ones among the earlier build's outcomes of one kind, or of all (-1).
+func (r *Relay) share(which int) float64 {
+	bad, n := r.base.count(which)
+	return (bad + 0.5) / (n + 1)
+}
+
+// stages tells how many a build has, and part the units of one as a share of the fleet's places.
+func (r *Relay) stages() int {
+	l, _ := r.set["rollout.stage_shares"].([]any)
+	return max(1, len(l))
+}
+
+func (r *Relay) part(stage int) float64 {
+	l, _ := r.set["rollout.stage_shares"].([]any)
+	part, _ := l[stage].(float64)
+	return part
+}
+
+// running counts the listed units of a build or a later one.
+func (r *Relay) running(build uint16) int {
+	n := 0
+	for _, u := range r.units {
+		if u.Build >= build {
+			n++
+		}
+	}
+	return n
+}
+
+// weakest is the test that has lost the most.
+func weakest(tests []test) *test {
+	least := &tests[0]
+	for i := range tests {
+		if tests[i].wealth < least.wealth {
+			least = &tests[i]
+		}
+	}
+	return least
+}
+
 // open counts the deliveries that are out at units that still answer.
 func (r *Relay) open() float64 {
 	n := 0.0
@@ -130,6 +170,30 @@
 	r.tell[2*which+1] = min(r.tell[2*which+1]+byte(x), r.tell[2*which])
 }
 
+// Told takes the counts of another relay: outcomes like its own, the bad ones spread
+// evenly. A relay sees a part of the traffic only; together they see a bad build sooner.
+func (r *Relay) Told(now Tick, from uint32, data []byte) {
+	r.now = now
+	ops := len(r.opTypes)
+	if r.judged == nil || len(data) != 4+2*ops || uint16(data[0])|uint16(data[1])<<8 != r.judged.build {
+		return
+	}
+	for which := range ops + 1 {
+		if which < ops {
+			r.judged.inStage += int(data[2+2*which])
+		}
+		n, bad := int(data[2+2*which]), int(data[3+2*which])
+		for i := range n {
+			x := float64((i+1)*bad/n - i*bad/n)
+			if which < ops {
+				r.see(0, x, r.edge(-1, which))
+			}
+			r.see(1+which, x, r.edge(which, which))
+		}
+	}
+	r.consider()
+}
+
 func (r *Relay) lane(op int) *lane { return &r.lanes[min(op, len(r.lanes)-1)] }
 
 // The design judges by own outcomes: Tally, the platform's count, is not used, nor are probes.
@@ -159,7 +223,8 @@
 
 // streamName says in the log what a stream counts.
 func streamName(which, ops int) string {
-	name := map[int]string{0: "all commands", ops + 1: "wrong answers", ops + 2: "slowness"}[which]
+	name := map[int]string{0: "all commands", ops + 1: "wrong answers", ops + 2: "slowness",
+		ops + 3: "resets"}[which]
 	if name == "" {
 		name = fmt.Sprint("op type ", which-1)
 	}
--- a/choice/helpers_test.go
+++ b/choice/helpers_test.go
@@ -10,6 +10,7 @@
 	failed map[*Command]bool
 	called []*Delivery
 	votes  []Verdict
+	stages []int
 	logs   []string
 	watch  int
 }
@@ -17,17 +18,19 @@
 func (d *desk) Deliver(v *Delivery, stopAt Tick) {
 	d.sent, d.stops = append(d.sent, v), append(d.stops, stopAt)
 }
-func (d *desk) Nack(c *Command, back Tick)      { d.nacked[c] = back }
-func (d *desk) Fail(c *Command)                 { d.failed[c] = true }
-func (d *desk) Cancel(v *Delivery)              { d.called = append(d.called, v) }
-func (d *desk) WakeAt(Tick, uint32)             {}
-func (d *desk) Probe(*Unit)                     {}
-func (d *desk) CloseIdle(*Unit)                 {}
-func (d *desk) Tell(uint32, []byte)             {}
-func (d *desk) Log(text string)                 { d.logs = append(d.logs, text) }
-func (d *desk) Watch(bool)                      { d.watch++ }
-func (d *desk) Fetch()                          {}
-func (d *desk) Vote(_ uint16, _ int, v Verdict) { d.votes = append(d.votes, v) }
+func (d *desk) Nack(c *Command, back Tick) { d.nacked[c] = back }
+func (d *desk) Fail(c *Command)            { d.failed[c] = true }
+func (d *desk) Cancel(v *Delivery)         { d.called = append(d.called, v) }
+func (d *desk) WakeAt(Tick, uint32)        {}
+func (d *desk) Probe(*Unit)                {}
+func (d *desk) CloseIdle(*Unit)            {}
+func (d *desk) Tell(uint32, []byte)        {}
+func (d *desk) Log(text string)            { d.logs = append(d.logs, text) }
+func (d *desk) Watch(bool)                 { d.watch++ }
+func (d *desk) Fetch()                     {}
+func (d *desk) Vote(_ uint16, stage int, v Verdict) {
+	d.votes, d.stages = append(d.votes, v), append(d.stages, stage)
+}
 
 const start = 100 * Second
 
--- a/choice/host.go
+++ b/choice/host.go
@@ -216,11 +216,14 @@
 	build   uint16
 	sample  *sample
 	streams []stream // all outcomes, one an op type, wrong answers
-	inStage int
-	whole   float64 // units in use then, by warmth
-	asked   float64 // commands, repeats aside, in the last seconds when this one came
-	before  float64 // the earlier build's failure share when this one came
-	middle  []Tick  // and the middle time of each op type's deliveries
+	inStage int      // outcomes in the stage
+	stage   int      // that they were counted in
+	past    int      // votes back found the stages before it passed
+	places  float64  // units of earlier builds when this one came
+	whole   float64  // units in use then, by warmth
+	acked   float64  // in the last seconds when this one came
+	before  float64  // the earlier build's failure share when this one came
+	middle  []Tick   // and the middle time of each op type's deliveries
 	alarm   string
 }
 
