Read what has come before a session is ended; give first messages a moment

At fault: evict took sessions that had only just connected, and more gave up at its time limit with bytes pending. Now a session that is to end reads what is pending first, and one whose first message is on its way has a quarter of a second where others wait for its place. Lists of idle and half-open sessions shrink back after a flood.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -79,7 +79,8 @@
 	spareOf  = 8               // one place in so many is spare
 	idleOf   = 4               // one in so many may be idle, and one in so many half open
 	commands = 4               // that may be open for each place
-	keep     = 2 * time.Second // an idle session; and how long the first command may take to come
+	keep     = 2 * time.Second // an idle session; and how long the first command may take at the least
+	brief    = keep / 8        // that a message may take where others wait for the place
 )
 
 // Serve takes in connections until the listener is closed or its deadline passes, and waits for all
@@ -148,8 +149,7 @@
 		return
 	}
 	s.place = in.PushBack(s)
-	if in.Len() > s.most/idleOf {
-		s.evict(in)
+	for in.Len() > s.most/idleOf && s.evict(in) {
 	}
 }
 
@@ -157,12 +157,15 @@
 // longest. Guards against clients that connect by the hundreds and say nothing, or a part.
 func (f *Front) yield() bool { return f.evict(&f.idle) || f.evict(&f.young) }
 
-// evict has the first session of a list end.
+// evict has the first session of a list end, unless its first message may still be on its way.
 func (f *Front) evict(of *list.List) bool {
 	if of.Len() == 0 {
 		return false
 	}
 	s := of.Front().Value.(*session)
+	if of == &f.young && time.Since(s.since) < brief {
+		return false
+	}
 	s.close = true
 	s.sort()
 	s.StopReading()
@@ -282,7 +285,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.served {
-		return s.since.Add(keep)
+		return s.since.Add(max(keep, s.limit))
 	}
 	return time.Now().Add(s.limit)
 }
@@ -336,7 +339,7 @@
 		switch {
 		case end.How != link.Late:
 			return s.still(end)
-		case !s.Quiet():
+		case s.Pending():
 			return s.more(0, s.by())
 		case !stays:
 			return false
@@ -354,8 +357,8 @@
 	}
 	s.mu.Unlock()
 	end := s.fill(want)
-	if end.How == link.Late && time.Now().Before(until) && !s.Quiet() {
-		s.ReadBy(until)
+	if end.How == link.Late && s.Pending() {
+		s.ReadBy(time.Now().Add(s.limit))
 		end = s.fill(want)
 	}
 	return s.still(end)
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -240,6 +240,7 @@
 	for range 7 {
 		dial(t, address)
 	}
+	time.Sleep(brief) // they have had their time
 	c := dial(t, address)
 	io.WriteString(c, string(pgwire.Hail())+message('Q', asks+"\x00"))
 	want(t, c, string(pgwire.Hello())+row+string(pgwire.Ready()))
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -201,13 +201,13 @@
 }
 
 // Quiet tells whether an idle connection is still up and nothing has come on it unasked.
-func (l *Link) Quiet() bool {
-	if l.in.n > 0 {
-		return false
-	}
+func (l *Link) Quiet() bool { return l.in.n == 0 && !l.Pending() }
+
+// Pending tells whether a read would not have to wait.
+func (l *Link) Pending() bool {
 	raw, err := l.conn.(syscall.Conn).SyscallConn()
 	if err != nil {
-		return false
+		return true
 	}
 	quiet := false
 	var one [1]byte
@@ -215,7 +215,7 @@
 		_, _, e := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = e == syscall.EAGAIN
 	})
-	return err == nil && quiet
+	return err != nil || !quiet
 }
 
 // Rest gives back the buffers of a connection that nothing is expected on.
