Wait for 60 outcomes while a trial or the fleet is slow, over samples of two seconds

At fault: verdict looked at the tests only, and its hold on a slow fleet had no end; pace kept 64 outcomes. Now slow shares come from 64 outcomes and what was acked in 2 s, and both conditions ask for 60 outcomes in the stage. TestSlowTrialWaits fails without it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -29,6 +29,7 @@
 	capUse      = 0.9  // of the cap, for first deliveries
 	mostTests   = 32   // open at once in one stream
 	leastSample = 20   // outcomes in a stage before a vote to go on
+	moreSample  = 60   // while more of them are slow than the edge
 	leastTimed  = 6    // outcomes of the build before a timed vote to go on, if few relays share the sample
 	voteAfter   = 3 * Second
 	drawnOut    = 3    // times the middle time before the trial is slow
@@ -409,16 +410,21 @@
 	}
 	switch {
 	case d.build < j.build:
-		r.base.add(last, x, kept)
+		r.base.add(last, x, kept+len(r.acks))
 		r.compared = r.now
 	case d.build == j.build:
-		j.sample.add(last, x, kept)
+		j.sample.add(last, x, kept+len(r.acks))
 		if float64(len(r.acks)) <= max(1, r.whole)*(burst*j.acked+3*math.Sqrt(j.acked))/j.whole {
-			r.see(1+last, x, min(r.share(last), j.before+excuse)+burden+margin)
+			r.see(1+last, x, r.drawl())
 		}
 	}
 }
 
+// drawl is the edge of slowness.
+func (r *Relay) drawl() float64 {
+	return min(r.share(len(r.opTypes)+1), r.judged.before+excuse) + burden + margin
+}
+
 // spares: a silent unit, or one that failed its own test while others of its build answer, speaks for
 // itself or its link. Guards the build against both; hurts when a bad build shows at some units only.
 func (r *Relay) spares(d *Delivery, bad bool) bool {
@@ -681,11 +687,14 @@
 	if !r.told || j == nil || j.build != r.news.Build || r.news.Phase != OnTrial && r.news.Phase != Released {
 		return NoVote
 	}
-	// A fleet much slower than before the trial holds the vote too: it may be the build's doing.
-	wary := j.wary() || r.share(len(r.opTypes)+1) > j.before+excuse
 	least := max(1, min(leastTimed, leastSample/max(1, r.num("relays"))))
 	timed := r.now-r.since >= voteAfter && float64(j.streams[0].n) >= least
 	clocked := r.word("rollout.control") == "clocked"
+	// A fleet much slower than before the trial, or a trial past the edge so far, waits for more outcomes.
+	wary, need, last := j.wary(), leastSample, len(r.opTypes)+1
+	if r.share(last) > j.before+excuse || mean(j.sample.bad[last]) > r.drawl() {
+		wary, need, timed = wary || clocked, moreSample, false
+	}
 	switch {
 	case j.alarm != "":
 		return GoBack
@@ -693,7 +702,7 @@
 		return NoVote
 	case clocked:
 		return Hold
-	case !wary && (j.inStage >= leastSample || timed):
+	case !wary && (j.inStage >= need || timed):
 		return GoOn
 	}
 	return NoVote
@@ -778,17 +787,6 @@
 	r.consider()
 }
 
-// Left takes that a client has gone: nothing is owed, and nothing more is sent.
-func (r *Relay) Left(now Tick, cmd *Command) {
-	r.now = now
-	cmd.answered = true
-	for _, d := range cmd.deliveries {
-		if !d.ended && !cmd.streaming && r.flag("limits.may_cancel") {
-			r.host.Cancel(d)
-		}
-	}
-}
-
 // figure works out, a few times a second, how long deliveries took of late.
 func (r *Relay) figure() {
 	for op, took := range r.took {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -408,6 +408,34 @@
 	}
 }
 
+// A vote to go on waits for more outcomes while the trial is past its edge, and for no longer.
+func TestSlowTrialWaits(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		outcomes, slow int // one in so many is slow
+		want           []Verdict
+	}{{"on time", 30, 0, []Verdict{GoOn}}, {"every other slow", 30, 2, nil}, {"every other slow, and more outcomes", 61, 2,
+		[]Verdict{GoOn}}} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(nil)
+			b.news(1, 0, Released, 1)
+			b.outcomes(1, 200, 0)
+			b.base.bad[len(b.opTypes)+1] = slices.Repeat([]float64{0, 0, 0, 1}, 50)
+			b.judged.before = 0.25
+			b.news(2, 0, OnTrial, 0.2)
+			b.outcomes(2, c.outcomes, 0)
+			for i := range c.outcomes {
+				if c.slow > 0 {
+					b.judged.sample.add(len(b.opTypes)+1, float64(i%c.slow), kept)
+				}
+			}
+			b.judged.before = 0.25
+			b.pass(Second)
+			check(t, "votes", fmt.Sprint(b.host.votes), fmt.Sprint(c.want))
+		})
+	}
+}
+
 // A burst of commands slows units of any build; the same slowness without one is the build's.
 func TestSlownessInABurst(t *testing.T) {
 	for _, c := range []struct {
--- a/choice/help.go
+++ b/choice/help.go
@@ -238,6 +238,17 @@
 	d.due = Tick(math.MaxInt64) // its time-out has stopped running
 }
 
+// Left takes that a client has gone: nothing is owed, and nothing more is sent.
+func (r *Relay) Left(now Tick, cmd *Command) {
+	r.now = now
+	cmd.answered = true
+	for _, d := range cmd.deliveries {
+		if !d.ended && !cmd.streaming && r.flag("limits.may_cancel") {
+			r.host.Cancel(d)
+		}
+	}
+}
+
 // prepare starts the generator and makes room for what is kept by op type.
 func (r *Relay) prepare(seed uint64) {
 	r.x, r.carry = uint32(seed), uint32(seed>>32)%4294957664+1
--- a/cmd/silvercove/main.go
+++ b/cmd/silvercove/main.go
@@ -153,8 +153,7 @@
 	}
 	atUnits := (t.sockets - otherSockets) / 6
 	r.pools = units.New(r.room, atUnits, span("limits.connect_timeout"), span("limits.idle_close"), r.gate)
-	r.front = clients.New(r.gate, r.pools, r.room, t.sockets-otherSockets-atUnits, timeout,
-		comeBack)
+	r.front = clients.New(r.gate, r.pools, r.room, t.sockets-otherSockets-atUnits, timeout, comeBack)
 	r.gate.List(true, t.known)
 	r.gate.Told(t.news)
 	return r
