Read an operator's own file: line-based grammar and one table of directives

New subsystems need settings of their own, which the platform's JSON does not give. The file has one directive a line, blocks, units and include; one table gives parsing, defaults, ranges, the reference page and the errors (file:line:column: directive: what is wrong, what is allowed). A file with any error is refused whole. The grammar stands on participle.

--- /dev/null
+++ b/internal/conf/grammar.go
@@ -0,0 +1,188 @@
+// Package conf owns the operator's own file: its grammar, the one table of directives that gives
+// parsing, defaults, ranges, the reference page and the errors, and the checks between directives.
+//
+// The file has one directive a line: a name and its values, parted by blanks. "#" starts a comment,
+// double quotes hold blanks, and a directive with parts opens a block with "{" at the end of its line
+// and closes it with "}" on a line of its own. "include PATH" takes another file's lines in its place.
+// A file with any error is refused whole. What comes out is a plain map.
+package conf
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/alecthomas/participle/v2"
+	"github.com/alecthomas/participle/v2/lexer"
+)
+
+// Limits on what is read.
+const (
+	mostBytes    = 4 << 20 // of one file
+	mostIncludes = 16      // one inside another
+)
+
+var words = lexer.MustSimple([]lexer.SimpleRule{
+	{Name: "Comment", Pattern: `#[^\n]*`},
+	{Name: "Quoted", Pattern: `"(\\["\\]|[^"\\\n])*"`},
+	{Name: "Open", Pattern: `\{`},
+	{Name: "Close", Pattern: `\}`},
+	{Name: "Word", Pattern: `[^\s"{}#]+`},
+	{Name: "EOL", Pattern: `\n`},
+	{Name: "Blank", Pattern: `[ \t\r]+`},
+})
+
+// text is a whole file.
+type text struct {
+	Lines []*line `parser:"@@*"`
+}
+
+// line is one directive, or none.
+type line struct {
+	Pos   lexer.Position
+	Name  string   `parser:"( @Word"`
+	Args  []*value `parser:"  @@*"`
+	Block *block   `parser:"  @@? )? EOL"`
+}
+
+type value struct {
+	Pos  lexer.Position
+	Text string `parser:"@( Word | Quoted )"`
+}
+
+type block struct {
+	Pos   lexer.Position
+	Lines []*line `parser:"Open EOL @@* Close"`
+}
+
+var grammar = participle.MustBuild[text](participle.Lexer(words), participle.Elide("Comment", "Blank"),
+	participle.UseLookahead(2))
+
+// Error is one fault of a file: where it is, in which directive, what is wrong and what is allowed.
+type Error struct {
+	File         string
+	Line, Column int
+	Directive    string
+	Text         string
+}
+
+func (e *Error) Error() string {
+	if e.Directive == "" {
+		return fmt.Sprintf("%s:%d:%d: %s", e.File, e.Line, e.Column, e.Text)
+	}
+	return fmt.Sprintf("%s:%d:%d: %s: %s", e.File, e.Line, e.Column, e.Directive, e.Text)
+}
+
+func at(pos lexer.Position, directive, form string, args ...any) *Error {
+	return &Error{File: pos.Filename, Line: pos.Line, Column: pos.Column, Directive: directive,
+		Text: fmt.Sprintf(form, args...)}
+}
+
+// parse reads the lines of one text, without its includes.
+func parse(name string, content []byte) ([]*line, error) {
+	if len(content) > mostBytes {
+		return nil, &Error{File: name, Line: 1, Column: 1, Text: fmt.Sprintf("longer than %d bytes", mostBytes)}
+	}
+	t, err := grammar.ParseString(name, string(content)+"\n")
+	if err != nil {
+		if p, ok := err.(participle.Error); ok {
+			return nil, at(p.Position(), "", "%s", explain(p.Message()))
+		}
+		return nil, err
+	}
+	return t.Lines, nil
+}
+
+// explain says in the words of the file's format what the parser missed.
+func explain(message string) string {
+	switch {
+	case strings.Contains(message, "invalid input text"):
+		return "a quote is not closed on its line, or has a backslash before other than a quote or backslash"
+	case strings.Contains(message, `unexpected token "<EOF>"`):
+		return `a block is not closed: "}" is missing`
+	case strings.Contains(message, `unexpected token "}"`):
+		return `"}" must stand on a line of its own and close a block`
+	case strings.Contains(message, `unexpected token "{"`):
+		return `"{" must follow a directive and end its line`
+	}
+	return message
+}
+
+// unquote gives what a value means.
+func unquote(s string) string {
+	if strings.HasPrefix(s, `"`) {
+		s = s[1 : len(s)-1]
+		s = strings.ReplaceAll(s, `\"`, `"`)
+		s = strings.ReplaceAll(s, `\\`, `\`)
+	}
+	return s
+}
+
+// load reads a file and what it includes. An included path is taken from its includer's folder.
+func load(path string, chain []string) ([]*line, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	lines, err := parse(path, content)
+	if err != nil {
+		return nil, err
+	}
+	return include(lines, filepath.Dir(path), append(chain, filepath.Clean(path)))
+}
+
+func include(lines []*line, dir string, chain []string) (out []*line, err error) {
+	for _, l := range lines {
+		if l.Name != "include" {
+			if l.Block != nil {
+				if l.Block.Lines, err = include(l.Block.Lines, dir, chain); err != nil {
+					return nil, err
+				}
+			}
+			out = append(out, l)
+			continue
+		}
+		if len(l.Args) != 1 || l.Block != nil {
+			return nil, at(l.Pos, "include", "takes one path")
+		}
+		path := unquote(l.Args[0].Text)
+		if !filepath.IsAbs(path) {
+			path = filepath.Join(dir, path)
+		}
+		for _, earlier := range chain {
+			if earlier == filepath.Clean(path) {
+				return nil, at(l.Pos, "include", "%s includes itself", path)
+			}
+		}
+		if len(chain) >= mostIncludes {
+			return nil, at(l.Pos, "include", "more than %d files one inside another", mostIncludes)
+		}
+		more, err := load(path, chain)
+		if os.IsNotExist(err) || os.IsPermission(err) {
+			return nil, at(l.Pos, "include", "%s cannot be read: %v", path, err)
+		} else if err != nil {
+			return nil, err
+		}
+		out = append(out, more...)
+	}
+	return out, nil
+}
+
+// number reads a figure with a unit out of a list; the longest unit that fits counts.
+func number(s string, units map[string]float64) (float64, bool) {
+	end := len(s)
+	for end > 0 && (s[end-1] < '0' || s[end-1] > '9') && s[end-1] != '.' {
+		end--
+	}
+	scale, ok := units[s[end:]]
+	if !ok {
+		return 0, false
+	}
+	f, err := strconv.ParseFloat(s[:end], 64)
+	if err != nil || strings.ContainsAny(s[:end], "eExXpP_nN") {
+		return 0, false
+	}
+	return f * scale, true
+}
--- /dev/null
+++ b/internal/conf/table.go
@@ -0,0 +1,174 @@
+package conf
+
+import (
+	"fmt"
+	"strings"
+)
+
+const most = 1 << 40 // a bound for sizes and numbers that have no other
+
+var (
+	opType = []Value{{Name: "target", Kind: Span, Least: 0.001, Most: 600},
+		{Name: "timeout", Kind: Span, Least: 0.001, Most: 3600}, {Name: "importance", Kind: Number, Least: 1, Most: 100}}
+	build = Value{Name: "build", Kind: Number, Least: 1, Most: 65535}
+)
+
+// Operators is the table of the operator's own file. Nothing is switched on without it.
+var Operators = Table{Directives: []Directive{
+	{Name: "log_level", Values: []Value{{Name: "level", Kind: Choice, Of: []string{"debug", "info", "warn", "error"}}},
+		Default: "info", Text: "The least level of log lines."},
+	{Name: "metadata", Block: true, Text: "The metadata front: TUF and Uptane metadata and packages for servers."},
+
+	{In: "metadata", Name: "listen", Values: []Value{{Name: "address", Kind: Address}}, Needed: true,
+		Text: "Where servers connect."},
+	{In: "metadata", Name: "floor", Values: []Value{{Name: "paths", Kind: Many}},
+		Text: "One file, or copies on different disks, that keep what may only grow. Without: memory alone."},
+	{In: "metadata", Name: "floor_entries", Values: []Value{{Name: "most", Kind: Number, Least: 1000, Most: 1e8}},
+		Default: "1200000", Text: "The most entries of the floor; one for each server and role."},
+	{In: "metadata", Name: "connections", Values: []Value{{Name: "most", Kind: Number, Least: 1, Most: 1e6}},
+		Default: "8192", Text: "Connections of servers that are open at once; more wait to be accepted."},
+	{In: "metadata", Name: "waiting", Values: []Value{{Name: "most", Kind: Number, Least: 1, Most: 1e6}},
+		Default: "4096", Text: "Requests that wait for mirrors or are being passed a package; more are answered 503."},
+	{In: "metadata", Name: "relays", Values: []Value{{Name: "number", Kind: Number, Least: 1, Most: 10000}},
+		Default: "1", Text: "How many such programs share the mirrors: the cold budget is divided among them."},
+	{In: "metadata", Name: "refresh", Values: []Value{{Name: "every", Kind: Span, Least: 0.02, Most: 3600}},
+		Default: "1s", Text: "A timestamp is taken for the newest for so long, then mirrors are asked."},
+	{In: "metadata", Name: "unconfirmed", Values: []Value{{Name: "span", Kind: Span, Least: 0, Most: 86400}},
+		Default: "30s", Text: "For so long it is also passed on while no mirror can be asked; never past its end."},
+	{In: "metadata", Name: "survey", Values: []Value{{Name: "when", Kind: Choice, Of: []string{"always", "never"}}},
+		Default: "always", Text: "Whether a majority of mirrors must show its timestamp after a start."},
+	{In: "metadata", Name: "connect_timeout", Values: []Value{{Name: "span", Kind: Span, Least: 0.001, Most: 60}},
+		Default: "300ms", Text: "How long a new connection to a mirror may take; less than the grace of drains, 1s."},
+	{In: "metadata", Name: "max_come_back", Values: []Value{{Name: "span", Kind: Span, Least: 0.1, Most: 3600}},
+		Default: "10s", Text: "The longest time to come back that is told."},
+	{In: "metadata", Name: "root", Values: opType, Default: "300ms 2s 4", Text: "Op type: the next root."},
+	{In: "metadata", Name: "timestamp", Values: opType, Default: "300ms 2s 4", Text: "Op type: a timestamp."},
+	{In: "metadata", Name: "snapshot", Values: opType, Default: "500ms 2s 3", Text: "Op type: a snapshot."},
+	{In: "metadata", Name: "targets", Values: opType, Default: "500ms 2s 2", Text: "Op type: targets of any role."},
+	{In: "metadata", Name: "package", Values: opType, Default: "60s 120s 1", Text: "Op type: the bytes of a package."},
+	{In: "metadata", Name: "repository", Values: []Value{{Name: "name", Kind: Name}}, More: true, Block: true, Needed: true,
+		Text: "A repository that is carried, under /r/NAME/."},
+	{In: "metadata", Name: "director", Block: true, Text: "Tells each server which package it is to run."},
+
+	{In: "metadata.repository", Name: "root", Values: []Value{{Name: "path", Kind: Path}}, Needed: true,
+		Text: "The pinned root: a file that is trusted as it is. Later roots come by the chain."},
+	{In: "metadata.repository", Name: "mirror", More: true, Takes: "at SIGHUP", Values: []Value{{Name: "name", Kind: Name},
+		{Name: "address", Kind: Address}, {Name: "zone", Kind: Name},
+		{Name: "state", Kind: Choice, Of: []string{"up", "draining"}}}, Text: "A mirror of it."},
+	{In: "metadata.repository", Name: "discovery", Values: []Value{{Name: "address", Kind: Address}},
+		Text: "An agent that tells the list of mirrors, in place of mirror."},
+	{In: "metadata.repository", Name: "agree", Values: []Value{{Name: "image", Kind: Name}},
+		Text: "It is a Director's: its targets are passed on only where this other repository agrees."},
+
+	{In: "metadata.director", Name: "image", Values: []Value{{Name: "repository", Kind: Name}}, Needed: true,
+		Text: "The repository that its packages are of."},
+	{In: "metadata.director", Name: "chain", Values: []Value{{Name: "folder", Kind: Path}}, Needed: true,
+		Takes: "at SIGHUP", Text: "Where its root chain stands, as covectl tuf publishes it."},
+	{In: "metadata.director", Name: "key", Values: []Value{{Name: "path", Kind: Path}}, More: true, Needed: true,
+		Takes: "at SIGHUP", Text: "An online key for its targets, snapshots or timestamps."},
+	{In: "metadata.director", Name: "lasts", Values: []Value{{Name: "span", Kind: Span, Least: 2, Most: 7 * 86400}},
+		Default: "60s", Text: "How long what a server was told lasts, whole seconds."},
+	{In: "metadata.director", Name: "running", Values: []Value{build}, Text: "The build that all servers run at first."},
+	{In: "metadata.director", Name: "package", Values: []Value{build, {Name: "path", Kind: Path}}, More: true, Needed: true,
+		Text: "The path of a build's package in the image repository."},
+	{In: "metadata.director", Name: "server", More: true, Takes: "at SIGHUP", Values: []Value{{Name: "name", Kind: Name},
+		{Name: "zone", Kind: Name}, {Name: "kind", Kind: Name}, {Name: "key", Kind: Path}},
+		Text: "A server of the fleet, and the public key that its reports are signed with."},
+	{In: "metadata.director", Name: "discovery", Values: []Value{{Name: "address", Kind: Address}},
+		Text: "An agent that tells which servers are there; server lines then give keys only."},
+	{In: "metadata.director", Name: "platform", Values: []Value{{Name: "address", Kind: Address}},
+		Text: "The platform that tells how far a build may go."},
+	{In: "metadata.director", Name: "wave", Takes: "at SIGHUP", Values: []Value{build,
+		{Name: "state", Kind: Choice, Of: []string{"testing", "recalling", "live", "recalled"}}, {Name: "cap", Kind: Share}},
+		Text: "How far a build may go, in place of platform."},
+}, Rules: []Rule{sound}}
+
+// sound are the checks between directives.
+func sound(all map[string]any) (directive, fault string) {
+	m, ok := all["metadata"].(map[string]any)
+	if !ok {
+		return "", ""
+	}
+	if m["connect_timeout"].(float64) >= 1 {
+		return "metadata.connect_timeout", "a connection that takes longer than the grace of drains, 1s, could reach a " +
+			"mirror that was drained meanwhile; allowed: less than 1s"
+	}
+	for _, name := range []string{"root", "timestamp", "snapshot", "targets", "package"} {
+		if op := m[name].([]any); op[0].(float64) > op[1].(float64) {
+			return "metadata." + name, "its target is longer than its timeout"
+		}
+	}
+	if m["refresh"].(float64) > m["unconfirmed"].(float64) && m["unconfirmed"].(float64) > 0 {
+		return "metadata.unconfirmed", "shorter than refresh; allowed: 0s, or no shorter than refresh"
+	}
+	repos := map[string]bool{}
+	for _, v := range m["repository"].([]any) {
+		name := v.(map[string]any)["name"].(string)
+		if repos[name] {
+			return "metadata.repository", fmt.Sprintf("%s is given twice", name)
+		}
+		repos[name] = true
+	}
+	for _, v := range m["repository"].([]any) {
+		r := v.(map[string]any)
+		mirrors, _ := r["mirror"].([]any)
+		if (len(mirrors) == 0) == (r["discovery"] == nil) {
+			return "metadata.repository", fmt.Sprintf("%s: either mirror lines or discovery are wanted", r["name"])
+		}
+		if twice := doubled(mirrors); twice != "" {
+			return "metadata.repository.mirror", fmt.Sprintf("%s is given twice", twice)
+		}
+		if image, ok := r["agree"].(string); ok && (!repos[image] || image == r["name"]) {
+			return "metadata.repository.agree", fmt.Sprintf("%s is no other repository of this file", image)
+		}
+	}
+	d, ok := m["director"].(map[string]any)
+	if !ok {
+		return "", ""
+	}
+	servers, _ := d["server"].([]any)
+	packages, _ := d["package"].([]any)
+	switch twiceServer, twiceBuild := doubled(servers), doubled(packages); {
+	case !repos[d["image"].(string)]:
+		return "metadata.director.image", fmt.Sprintf("%s is no repository of this file", d["image"])
+	case twiceServer != "":
+		return "metadata.director.server", twiceServer + " is given twice"
+	case twiceBuild != "":
+		return "metadata.director.package", "build " + twiceBuild + " is given twice"
+	case d["platform"] != nil && d["wave"] != nil:
+		return "metadata.director.wave", "contradicts platform: only one of them may say how far a build goes"
+	case d["platform"] == nil && d["wave"] == nil:
+		return "metadata.director", "either platform or wave is wanted"
+	case m["floor"] == nil:
+		return "metadata.director", "a Director needs a floor: without one it would give version numbers twice"
+	}
+	if w, ok := d["wave"].([]any); ok && !names(packages, w[0]) {
+		return "metadata.director.wave", fmt.Sprintf("build %v has no package", w[0])
+	}
+	if b := d["running"]; b != nil && !names(packages, b) {
+		return "metadata.director.running", fmt.Sprintf("build %v has no package", b)
+	}
+	return "", ""
+}
+
+// doubled finds a directive whose first value comes twice.
+func doubled(list []any) string {
+	seen := map[string]bool{}
+	for _, v := range list {
+		name := strings.TrimSpace(fmt.Sprint(v.([]any)[0]))
+		if seen[name] {
+			return name
+		}
+		seen[name] = true
+	}
+	return ""
+}
+
+func names(list []any, first any) bool {
+	for _, v := range list {
+		if v.([]any)[0] == first {
+			return true
+		}
+	}
+	return false
+}
