--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,246 @@
+// Package exchange decides about exchanges of metadata at a front: whether what is held will do or mirrors are
+// to be asked, when they are asked again after they had nothing, what a client is told, when a transfer
+// is too slow to wait for, and how many clients are let in at once.
+//
+// It knows no socket and no clock: each method names what has happened, with the time.
+//
+// Kind: decision
+package exchange
+
+import (
+	"math/rand/v2"
+
+	"silvercove/internal/trust"
+)
+
+// Tick is a moment or a span in whole tenths of a millisecond.
+type Tick = trust.Tick
+
+const (
+	firstBack   = trust.Second / 5  // until mirrors are asked again after they had nothing
+	mostBack    = 10 * trust.Second // it doubles up to this
+	leastBytes  = 4 << 10           // a transfer brings within one span
+	slowSpan    = 2 * trust.Second
+	firstByte   = 2 * trust.Second // until the first byte of a transfer
+	staleSend   = trust.Second / 2 // a delivery chosen longer ago is not sent: its mirror may drain since
+	spreadShare = 2                // come-back times are drawn up to so many times the least
+)
+
+// Refresh decides when the mirrors of one repository are asked for something newer.
+type Refresh struct {
+	every Tick // a timestamp is taken for current for so long
+	alone Tick // and for so long where no mirror can be asked
+	last  Tick // when one was last had
+	next  Tick // after failures: not before
+	wait  Tick
+	rand  *rand.Rand
+}
+
+// NewRefresh makes one; a timestamp that was had every ago is asked for again, and one that was had alone ago
+// is no longer passed on, also if no mirror can be asked.
+func NewRefresh(every, alone Tick, seed uint64) *Refresh {
+	return &Refresh{every: every, alone: max(every, alone), last: -1 << 40, rand: rand.New(rand.NewPCG(seed, seed>>32))}
+}
+
+// Due tells whether the mirrors are to be asked before a timestamp is passed on. lacking: what is held
+// will not do anyhow.
+func (r *Refresh) Due(now Tick, lacking bool) bool {
+	return (lacking || now >= r.last+r.every) && now >= r.next
+}
+
+// Had takes that the mirrors showed a current timestamp.
+func (r *Refresh) Had(now Tick) { r.last, r.next, r.wait = now, 0, 0 }
+
+// Failed takes that they did not. They are asked again after a while that doubles, drawn by a half, so that
+// a dead repository is not asked by each client, nor by all relays at once.
+func (r *Refresh) Failed(now Tick) {
+	r.wait = min(mostBack, max(firstBack, 2*r.wait))
+	r.next = now + r.wait/2 + Tick(r.rand.Int64N(int64(r.wait/2)+1))
+}
+
+// Stale tells whether what is held may no longer be taken for the newest: the mirrors are to be asked, or
+// have had nothing for too long. Between its two times a newer one may be out that no mirror showed: the end
+// of the metadata bounds that anyhow, and an installation chooses how much earlier to stop.
+func (r *Refresh) Stale(now Tick) bool {
+	if r.wait > 0 {
+		return now >= r.last+r.alone
+	}
+	return now >= r.last+r.every
+}
+
+// ComeBack is how long a client is to wait that got nothing: until the mirrors are asked again, and a drawn
+// while more, so that those who wait do not come at once.
+func (r *Refresh) ComeBack(now Tick) Tick {
+	least := max(firstBack, r.next-now)
+	return least + Tick(r.rand.Int64N(int64(least)*(spreadShare-1)+1))
+}
+
+// Answer is what a client is told in place of a file.
+type Answer struct {
+	Status int
+	Text   string
+	Later  bool // with a time to come back
+}
+
+// Refused decides what a refusal means for the client. Never an old answer: what is not current now is
+// answered 503 with a time to come back, what will never be is 404, what came too late 404 with the word
+// that the exchange is to be begun again.
+func Refused(r *trust.Refusal) Answer {
+	switch r.Why {
+	case trust.Older:
+		return Answer{404, "superseded: begin again with timestamp.json", false}
+	case trust.Unnamed:
+		return Answer{404, "no such file", false}
+	case trust.Missing:
+		if r.Role == "root" { // how clients learn that they have the newest (specification 5.3.3)
+			return Answer{404, "no such root", false}
+		}
+		return Answer{503, "not to be had now", true}
+	case trust.Disagree, trust.Elsewhere:
+		return Answer{503, "the repositories do not agree", true}
+	case trust.Expired:
+		return Answer{503, "expired", true}
+	case trust.Unkept:
+		return Answer{503, "what must be kept cannot be written", true}
+	}
+	return Answer{503, "nothing current", true}
+}
+
+// Reported decides what a server is told that sent a report.
+func Reported(r *trust.Refusal) Answer {
+	if r == nil || r.Why == trust.Same {
+		return Answer{200, "taken", false} // a repeat gets the same answer, and does nothing
+	}
+	switch r.Why {
+	case trust.Overlong:
+		return Answer{413, r.Why.String(), false}
+	case trust.Malformed:
+		return Answer{400, r.Why.String(), false}
+	case trust.Foreign, trust.WronglySigned, trust.Elsewhere:
+		return Answer{403, r.Why.String(), false}
+	case trust.Older, trust.Conflict:
+		return Answer{409, r.Why.String(), false}
+	}
+	return Answer{503, r.Why.String(), true}
+}
+
+// TooLate tells whether a delivery that was chosen at a moment is no longer to be sent. It guards against
+// a process that stood still between the choice and the sending, while its mirror began to drain.
+func TooLate(now, chosen Tick) bool { return now >= chosen+staleSend }
+
+// Transfer decides whether the body of an answer still comes fast enough. It guards against mirrors that
+// send endlessly or a byte now and then; it hurts where a link is honestly slower than its least rate.
+type Transfer struct {
+	from Tick
+	came int64
+	any  bool
+}
+
+// Begin takes that a delivery was sent.
+func (t *Transfer) Begin(now Tick) { *t = Transfer{from: now} }
+
+// Came takes bytes. tooSlow: another mirror is to be asked.
+func (t *Transfer) Came(now Tick, n int64) (tooSlow bool) {
+	t.any = true
+	t.came += n
+	if now < t.from+slowSpan {
+		return false
+	}
+	tooSlow = t.came < leastBytes
+	t.from, t.came = now, 0
+	return tooSlow
+}
+
+// Held takes that the client, not the mirror, has held things up for a while.
+func (t *Transfer) Held(span Tick) { t.from += span }
+
+// Until is when to look again should nothing come.
+func (t *Transfer) Until() Tick {
+	if !t.any {
+		return t.from + firstByte
+	}
+	return t.from + 2*slowSpan
+}
+
+// Doors decides how many clients are let in: requests that wait for mirrors or are being passed a
+// package need memory, files that are held cost next to none.
+type Doors struct {
+	Most    int // at once
+	in      int
+	perEach map[string]int // of one client address, while there is any
+	each    int
+}
+
+// NewDoors lets in so many at once, and of one client a quarter of them at most.
+func NewDoors(most int) *Doors {
+	return &Doors{Most: most, perEach: map[string]int{}, each: max(1, most/4)}
+}
+
+// Enter takes that a client wants in; false: it is told to come back. One client alone can't fill
+// all places while others want in: past a half of them each has its own bound.
+func (d *Doors) Enter(client string) bool {
+	if d.in >= d.Most || d.in >= d.Most/2 && d.perEach[client] >= d.each {
+		return false
+	}
+	d.in++
+	d.perEach[client]++
+	return true
+}
+
+// Leave takes that it is through.
+func (d *Doors) Leave(client string) {
+	d.in--
+	if d.perEach[client]--; d.perEach[client] <= 0 {
+		delete(d.perEach, client)
+	}
+}
+
+// In tells how many are in.
+func (d *Doors) In() int { return d.in }
+
+// ClientPatience is how long a client may take to accept one stretch of a package: past it the client is
+// let go, as it holds a mirror's connection.
+const ClientPatience = 10 * trust.Second
+
+// Survey decides when enough mirrors have shown their timestamp after a start. The floor may have been put
+// back with its disk, or there may be none: what a majority shows, or more of them than half can hide,
+// stands in for it. It does not guard against a majority that is old.
+type Survey struct {
+	shown map[string]bool
+	Done  bool
+}
+
+// NewSurvey starts one; not wanted: it is done at once.
+func NewSurvey(wanted bool) *Survey { return &Survey{shown: map[string]bool{}, Done: !wanted} }
+
+// Shown takes what a mirror answered: a timestamp that trust took, had already or found too old counts,
+// as it is signed well.
+func (s *Survey) Shown(mirror string, refusal *trust.Refusal, listed []string) {
+	if refusal == nil || refusal.Why == trust.Same || refusal.Why == trust.Older {
+		s.shown[mirror] = true
+	}
+	n := 0
+	for _, name := range listed {
+		if s.shown[name] {
+			n++
+		}
+	}
+	s.Done = s.Done || n > 0 && 2*n > len(listed)
+}
+
+// Rules are the settings of the gate of one repository's mirrors, from what an operator chooses: how many relays
+// share the mirrors, how long a connection may take, the longest come-back time, and for each op type its
+// name, service target, command timeout (seconds) and importance. What is not an operator's to choose:
+// a mirror that is new starts at a tenth of its capacity and is warm after ten seconds; in no second
+// more reaches it than twice what the warm ones answer; a drained one has one second's grace; a command
+// may be tried at every mirror, up to sixteen.
+func Rules(relays, connect, comeBack float64, opTypes []map[string]any) map[string]any {
+	for _, t := range opTypes {
+		t["repeats"] = "redeliverable"
+	}
+	return map[string]any{"op_types": opTypes, "relays": relays, "limits.connect_timeout": connect,
+		"limits.idle_close": 10.0, "limits.max_deliveries": 16.0,
+		"limits.may_cancel": true, "limits.come_back": true, "limits.max_come_back": comeBack,
+		"rules.cold": 10.0, "rules.cold_from": 0.1, "rules.tip_after": 1.0, "rules.fall_multiple": 2.0,
+		"rules.drain_grace": 1.0, "rules.ask_every": 20.0}
+}
--- /dev/null
+++ b/internal/trust/current.go
@@ -0,0 +1,491 @@
+package trust
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"hash"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/theupdateframework/go-tuf/v2/metadata"
+)
+
+// File is the name of a metadata file: its role, and its version where the name has one, else 0.
+type File struct {
+	Role    string
+	Version int64
+}
+
+// ParseFile reads the name of a metadata file (specification 3.1.2 and 7.3): ROLE.json, or N.ROLE.json.
+func ParseFile(name string) (f File, ok bool) {
+	name, ok = strings.CutSuffix(name, ".json")
+	if !ok || name == "" || len(name) > 256 {
+		return f, false
+	}
+	if number, rest, cut := strings.Cut(name, "."); cut && strings.Trim(number, "0123456789") == "" && number != "" {
+		n, err := strconv.ParseInt(number, 10, 62)
+		if err != nil || n < 1 || number[0] == '0' || rest == "" {
+			return f, false
+		}
+		f.Version, name = n, rest
+	}
+	role, err := url.PathUnescape(name)
+	if err != nil || strings.ContainsAny(role, "/\\\x00") {
+		return f, false
+	}
+	f.Role = role
+	return f, true
+}
+
+// String is the name that a repository has the file under.
+func (f File) String() string {
+	name := url.PathEscape(f.Role) + ".json"
+	if f.Version > 0 {
+		name = strconv.FormatInt(f.Version, 10) + "." + name
+	}
+	return name
+}
+
+// Kind is the one of the four top-level roles whose rules a file follows.
+func (f File) Kind() string {
+	if slices.Contains(metadata.TOP_LEVEL_ROLE_NAMES[:], f.Role) {
+		return f.Role
+	}
+	return metadata.TARGETS
+}
+
+// Current gives a file that is held, if it may be passed on now: everything that it hangs on is held, fits
+// together and has not expired, and the version asked for is the one that counts. Roots of the chain
+// are passed on whatever their age, as clients walk them (5.3.4 to 5.3.9); the newest must not have expired.
+func (r *Repository) Current(now Tick, f File) ([]byte, *Refusal) {
+	r.pass(now)
+	switch f.Role {
+	case metadata.ROOT:
+		if data := r.roots[f.Version]; data != nil && f.Version < r.root.version {
+			return data, nil
+		}
+		if f.Version > r.root.version {
+			return nil, r.refuse(Missing, f.Role, "version %d is not there yet", f.Version)
+		}
+		if refusal := r.rooted(f.Role); refusal != nil {
+			return nil, refusal
+		}
+		if f.Version != 0 && f.Version != r.root.version {
+			return nil, r.refuse(Missing, f.Role, "version %d is before the pinned one", f.Version)
+		}
+		return r.root.bytes, nil
+	case metadata.TIMESTAMP:
+		// Not before all that it names is held: clients would find no snapshot that fits.
+		if f.Version != 0 {
+			return nil, r.refuse(Unnamed, f.Role, "timestamps have no versioned name")
+		}
+		if refusal := r.whole(); refusal != nil {
+			return nil, refusal
+		}
+		return r.stamp.bytes, nil
+	case metadata.SNAPSHOT:
+		if refusal := r.snapped(f.Role); refusal != nil {
+			return nil, refusal
+		}
+		return r.exact(f, r.snap.bytes, r.snap.version)
+	}
+	if refusal := r.snapped(f.Role); refusal != nil {
+		return nil, refusal
+	}
+	t := r.targets[f.Role]
+	if t == nil && r.snap.Signed.Meta[f.Role+".json"] == nil {
+		return nil, r.refuse(Unnamed, f.Role, "the snapshot does not name it")
+	}
+	if t == nil {
+		return nil, r.refuse(Missing, f.Role, "not held")
+	}
+	if refusal := r.unexpired(f.Role); refusal != nil {
+		return nil, refusal
+	}
+	return r.exact(f, t.bytes, t.version)
+}
+
+// whole: timestamp, snapshot and top-level targets are held, fit together and have not expired.
+func (r *Repository) whole() *Refusal {
+	if refusal := r.snapped(metadata.TARGETS); refusal != nil {
+		return refusal
+	}
+	if r.targets[metadata.TARGETS] == nil {
+		return r.refuse(Missing, metadata.TARGETS, "not held")
+	}
+	return r.unexpired(metadata.TARGETS)
+}
+
+// unexpired: neither a role of targets nor any that it was delegated by has expired.
+func (r *Repository) unexpired(role string) *Refusal {
+	for name := role; name != metadata.ROOT; name = r.targets[name].by {
+		t := r.targets[name]
+		if t == nil {
+			return r.refuse(Missing, role, "%s is not held", name)
+		}
+		if r.now >= t.expires {
+			return r.lapsed(role, t.expires, "%s %d expired at %s", name, t.version, t.expires.Time())
+		}
+	}
+	return nil
+}
+
+// exact holds a versioned name against the version that counts, and an unversioned one against the
+// repository's way of naming.
+func (r *Repository) exact(f File, data []byte, version int64) ([]byte, *Refusal) {
+	switch {
+	case f.Version == version:
+	case f.Version > version:
+		return nil, r.refuse(Missing, f.Role, "version %d is not there yet", f.Version)
+	case f.Version > 0:
+		return nil, r.refuse(Older, f.Role, "version %d, %d counts", f.Version, version)
+	case r.root.Signed.ConsistentSnapshot:
+		return nil, r.refuse(Missing, f.Role, "the repository has consistent snapshots: ask for a version")
+	}
+	return data, nil
+}
+
+// Wanted is the next file that is needed for a whole set, with the most bytes that it may have and
+// whether it must be asked for again, as what is held will not do. Without any: ok is false.
+func (r *Repository) Wanted(now Tick) (f File, most int, ok bool) {
+	r.pass(now)
+	versioned := func(role string, v int64) File {
+		if r.root.Signed.ConsistentSnapshot {
+			return File{role, v}
+		}
+		return File{Role: role}
+	}
+	seen, _ := r.host.Seen(r.key(metadata.ROOT))
+	switch {
+	case r.root.version < seen || r.now >= r.root.expires:
+		return File{metadata.ROOT, r.Next()}, MostRoot, true
+	case r.stamp == nil || r.now >= r.stamp.expires:
+		return File{Role: metadata.TIMESTAMP}, MostTimestamp, true
+	case r.snap == nil || r.snap.version != r.stamp.Signed.Meta["snapshot.json"].Version:
+		m := r.stamp.Signed.Meta["snapshot.json"]
+		return versioned(metadata.SNAPSHOT, m.Version), bound(m, MostSnapshot), true
+	case r.targets[metadata.TARGETS] == nil:
+		m := r.snap.Signed.Meta["targets.json"]
+		return versioned(metadata.TARGETS, m.Version), bound(m, MostTargets), true
+	}
+	return f, 0, false
+}
+
+// Role is the file of a role of targets as the snapshot names it.
+func (r *Repository) Role(now Tick, role string) (f File, most int, refusal *Refusal) {
+	r.pass(now)
+	if refusal = r.snapped(role); refusal != nil {
+		return f, 0, refusal
+	}
+	m := r.snap.Signed.Meta[role+".json"]
+	if m == nil {
+		return f, 0, r.refuse(Unnamed, role, "the snapshot does not name it")
+	}
+	f = File{Role: role}
+	if r.root.Signed.ConsistentSnapshot {
+		f.Version = m.Version
+	}
+	return f, bound(m, MostTargets), nil
+}
+
+// bound is the length that a parent gives for a file, within what is allowed at all.
+func bound(m *metadata.MetaFiles, most int) int {
+	if m.Length > 0 && m.Length < int64(most) {
+		return int(m.Length)
+	}
+	return most
+}
+
+// Unheld are roles of targets that the snapshot names and that are not held, by name: what delegates to
+// a role may have to be had first.
+func (r *Repository) Unheld() (roles []string) {
+	if r.snap == nil {
+		return nil
+	}
+	for name := range r.snap.Signed.Meta {
+		if role := strings.TrimSuffix(name, ".json"); r.targets[role] == nil {
+			roles = append(roles, role)
+		}
+	}
+	slices.Sort(roles)
+	return roles[:min(len(roles), mostRoles)]
+}
+
+// Version tells the version of a role that is held, 0 for none.
+func (r *Repository) Version(role string) int64 {
+	switch {
+	case role == metadata.ROOT:
+		return r.root.version
+	case role == metadata.TIMESTAMP && r.stamp != nil:
+		return r.stamp.version
+	case role == metadata.SNAPSHOT && r.snap != nil:
+		return r.snap.version
+	case r.targets[role] != nil:
+		return r.targets[role].version
+	}
+	return 0
+}
+
+// Expires tells the earliest moment at which any of what a whole set hangs on expires.
+func (r *Repository) Expires() Tick {
+	at := r.root.expires
+	if r.stamp != nil {
+		at = min(at, r.stamp.expires)
+	}
+	if r.snap != nil {
+		at = min(at, r.snap.expires)
+	}
+	if t := r.targets[metadata.TARGETS]; t != nil {
+		at = min(at, t.expires)
+	}
+	return at
+}
+
+// Target is one file that a repository vouches for.
+type Target struct {
+	Path   string
+	Length int64
+	Sum    Sum
+	Role   string // that vouches for it
+	Custom Custom
+}
+
+// Custom is what our tools add to a target. Others' fields are left alone.
+type Custom struct {
+	Build  uint16            `json:"build,omitempty"`
+	ECUs   map[string]string `json:"ecus,omitempty"`   // of a Director: servers and their kinds of hardware
+	Kinds  []string          `json:"kinds,omitempty"`  // of an Image repository: kinds of hardware that it fits
+	Piece  int64             `json:"piece,omitempty"`  // bytes that each of the sums is of
+	Pieces []string          `json:"pieces,omitempty"` // their SHA-256, in hexadecimal
+}
+
+// Find looks a target up through the delegations: in their order, depth first, ended by a terminating
+// one (5.6.7). Where a role on the way is not held, need names it: it is to be fetched, and the search
+// made again.
+func (r *Repository) Find(now Tick, path string) (t *Target, need string, refusal *Refusal) {
+	r.pass(now)
+	if refusal = r.whole(); refusal != nil {
+		return nil, "", refusal
+	}
+	visited := map[string]bool{}
+	stack := []string{metadata.TARGETS}
+	for len(stack) > 0 && len(visited) < mostRoles {
+		role := stack[len(stack)-1]
+		stack = stack[:len(stack)-1]
+		if visited[role] {
+			continue
+		}
+		visited[role] = true
+		h := r.targets[role]
+		if h == nil {
+			if r.snap.Signed.Meta[role+".json"] == nil {
+				return nil, "", r.refuse(Unnamed, role, "the snapshot does not name it")
+			}
+			return nil, role, nil
+		}
+		if refusal = r.unexpired(role); refusal != nil {
+			return nil, "", refusal
+		}
+		if is := h.Signed.Targets[path]; is != nil {
+			return target(path, role, is), "", nil
+		}
+		if h.Signed.Delegations == nil {
+			continue
+		}
+		var on []string
+		for _, to := range h.Signed.Delegations.GetRolesForTarget(path) {
+			on = append(on, to.Name)
+			if to.Terminating {
+				stack = nil // nothing else may vouch for it
+				break
+			}
+		}
+		slices.Reverse(on)
+		stack = append(stack, on...)
+	}
+	return nil, "", r.refuse(Unnamed, metadata.TARGETS, "nothing vouches for %s", path)
+}
+
+func target(path, role string, is *metadata.TargetFiles) *Target {
+	t := &Target{Path: path, Length: is.Length, Role: role}
+	copy(t.Sum[:], is.Hashes["sha256"])
+	if is.Custom != nil {
+		json.Unmarshal(*is.Custom, &t.Custom) // another's custom field leaves it empty
+	}
+	return t
+}
+
+// Plain gives the path of a target as targets name it, and the sum that its stored name asks for. A name
+// without one is plain itself.
+func (r *Repository) Plain(stored string) (path string, sum Sum, hashed bool) {
+	dir, name := "", stored
+	if at := strings.LastIndexByte(stored, '/'); at >= 0 {
+		dir, name = stored[:at+1], stored[at+1:]
+	}
+	digits, rest, cut := strings.Cut(name, ".")
+	text, err := hex.DecodeString(digits)
+	if !r.root.Signed.ConsistentSnapshot || !cut || rest == "" || err != nil || len(text) != len(sum) {
+		return stored, sum, false
+	}
+	copy(sum[:], text)
+	return dir + rest, sum, true
+}
+
+// Assigned are all targets that the top-level role of a Director names, by path.
+func (r *Repository) Assigned(now Tick) (all []*Target, refusal *Refusal) {
+	r.pass(now)
+	if refusal = r.whole(); refusal != nil {
+		return nil, refusal
+	}
+	for path, is := range r.targets[metadata.TARGETS].Signed.Targets {
+		all = append(all, target(path, metadata.TARGETS, is))
+	}
+	slices.SortFunc(all, func(a, b *Target) int { return strings.Compare(a.Path, b.Path) })
+	return all, nil
+}
+
+// File name of a target in a repository with consistent snapshots (specification 3.1.2): HASH.NAME.
+func (r *Repository) Stored(t *Target) string {
+	if !r.root.Signed.ConsistentSnapshot {
+		return t.Path
+	}
+	dir, name := "", t.Path
+	if at := strings.LastIndexByte(t.Path, '/'); at >= 0 {
+		dir, name = t.Path[:at+1], t.Path[at+1:]
+	}
+	return dir + hex.EncodeToString(t.Sum[:]) + "." + name
+}
+
+// Body verifies the bytes of one target as they come, from any number of mirrors. Where the target
+// has sums of pieces, a piece is passed on once it is whole and right; else all but the last bytes are
+// passed on as they come and the last ones once the whole is right, so that a client never gets
+// as many bytes as it was told of something that is not right.
+type Body struct {
+	of     *Target
+	repo   *Repository
+	sum    hash.Hash // of what was passed on; nil where it can't be had
+	kept   []byte    // come, but not passed on yet
+	at     int64     // passed on
+	hold   int64
+	pieces bool
+	alone  bool // a piece may not be put together from several mirrors
+	bad    bool
+}
+
+// lastHeld are the bytes that are kept back to the end where there are no sums of pieces.
+const lastHeld = 16 << 10
+
+// mostPiece bounds what is kept of a piece until it is whole.
+const mostPiece = 4 << 20
+
+// Open begins the body of a target.
+func (r *Repository) Open(t *Target) *Body {
+	b := &Body{of: t, repo: r, sum: sha256.New(), hold: min(lastHeld, t.Length)}
+	if p := t.Custom.Piece; p > 0 && p <= mostPiece && int64(len(t.Custom.Pieces)) == (t.Length+p-1)/p {
+		b.pieces, b.hold = true, p
+	}
+	return b
+}
+
+// From begins at a later byte, for a client that has the ones before: at the start of the piece that has
+// it. Without sums of pieces it can't, as only the whole tells what is right.
+func (b *Body) From(at int64) (start int64, ok bool) {
+	if !b.pieces || at < 0 || at >= b.of.Length {
+		return 0, at == 0
+	}
+	if b.at = at / b.hold * b.hold; b.at > 0 {
+		b.sum = nil // the whole can't be summed up
+	}
+	return b.at, true
+}
+
+// Next is where the next byte is to come from: a mirror is asked from here on.
+func (b *Body) Next() int64 { return b.at + int64(len(b.kept)) }
+
+// Want is how many bytes are wanted yet.
+func (b *Body) Want() int64 { return b.of.Length - b.Next() }
+
+// Resume goes on at another mirror. What was kept of a piece stays, as it may be right; once a piece that was
+// put together so was wrong, each must come from one mirror alone.
+func (b *Body) Resume() {
+	if b.pieces && b.alone {
+		b.kept = b.kept[:0]
+	}
+}
+
+// Add takes bytes and passes on what may be. A Refusal means that the mirror is wrong; where sums of
+// pieces are there, another can be asked from Next on, else the body is spoilt.
+func (b *Body) Add(p []byte, pass func([]byte) error) error {
+	if int64(len(p)) > b.Want() {
+		if b.bad = !b.pieces; b.pieces {
+			b.kept = b.kept[:0]
+		}
+		return b.repo.refuse(Overlong, b.of.Path, "more than %d bytes", b.of.Length)
+	}
+	for len(p) > 0 {
+		n := min(int64(len(p)), b.hold-int64(len(b.kept)))
+		if n == 0 { // only without pieces: the oldest goes on
+			n = min(int64(len(p)), b.hold)
+			if err := b.pass(b.kept[:n], pass); err != nil {
+				return err
+			}
+			b.kept = append(b.kept[:0], b.kept[n:]...)
+		}
+		b.kept = append(b.kept, p[:n]...)
+		p = p[n:]
+		if b.pieces && (int64(len(b.kept)) == b.hold || b.Want() == 0) {
+			if err := b.piece(pass); err != nil {
+				return err
+			}
+		}
+	}
+	if b.Want() > 0 || b.pieces {
+		return nil
+	}
+	b.sum.Write(b.kept)
+	if Sum(b.sum.Sum(nil)) != b.of.Sum {
+		b.bad = true
+		return b.repo.refuse(Mismatch, b.of.Path, "its SHA-256 is another")
+	}
+	b.sum = nil
+	err := b.pass(b.kept, pass)
+	b.kept = nil
+	return err
+}
+
+// piece verifies the piece that is whole now.
+func (b *Body) piece(pass func([]byte) error) error {
+	sum := sha256.Sum256(b.kept)
+	if hex.EncodeToString(sum[:]) != b.of.Custom.Pieces[b.at/b.hold] {
+		b.kept, b.alone = b.kept[:0], true
+		return b.repo.refuse(Mismatch, b.of.Path, "the piece from byte %d on has another SHA-256", b.at)
+	}
+	if b.Want() == 0 && b.sum != nil { // pieces are only as good as the whole
+		b.sum.Write(b.kept)
+		if Sum(b.sum.Sum(nil)) != b.of.Sum {
+			b.bad = true
+			return b.repo.refuse(Mismatch, b.of.Path, "its SHA-256 is another than its pieces add up to")
+		}
+		b.sum = nil
+	}
+	err := b.pass(b.kept, pass)
+	b.kept = b.kept[:0]
+	return err
+}
+
+func (b *Body) pass(p []byte, to func([]byte) error) error {
+	if b.sum != nil {
+		b.sum.Write(p)
+	}
+	b.at += int64(len(p))
+	return to(p)
+}
+
+// Done: every byte was passed on.
+func (b *Body) Done() bool { return b.at == b.of.Length && len(b.kept) == 0 }
+
+// Spoilt: what was passed on cannot become right any more.
+func (b *Body) Spoilt() bool { return b.bad }
--- /dev/null
+++ b/internal/trust/read.go
@@ -0,0 +1,250 @@
+package trust
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/secure-systems-lab/go-securesystemslib/cjson"
+	"github.com/theupdateframework/go-tuf/v2/metadata"
+)
+
+// read reads one piece of metadata without believing it.
+func read[T metadata.Roles](r *Repository, role string, data []byte, most int) (*held[T], *Refusal) {
+	if len(data) > most {
+		return nil, r.refuse(Overlong, role, "%d bytes, %d are allowed", len(data), most)
+	}
+	sum, err := plain(data)
+	if err != nil {
+		return nil, r.refuse(Malformed, role, "%v", err)
+	}
+	m, err := (&metadata.Metadata[T]{}).FromBytes(data)
+	if err != nil {
+		return nil, r.refuse(Malformed, role, "%v", err)
+	}
+	h := &held[T]{Metadata: m, bytes: bytes.Clone(data), sum: sum}
+	spec := ""
+	switch s := any(&m.Signed).(type) {
+	case *metadata.RootType:
+		h.version, h.expires, spec = s.Version, Of(s.Expires), s.SpecVersion
+	case *metadata.TimestampType:
+		h.version, h.expires, spec = s.Version, Of(s.Expires), s.SpecVersion
+	case *metadata.SnapshotType:
+		h.version, h.expires, spec = s.Version, Of(s.Expires), s.SpecVersion
+	case *metadata.TargetsType:
+		h.version, h.expires, spec = s.Version, Of(s.Expires), s.SpecVersion
+	}
+	signed, err := cjson.EncodeCanonical(m.Signed)
+	switch {
+	case err != nil:
+		return nil, r.refuse(Malformed, role, "%v", err)
+	case sha256.Sum256(signed) != sum:
+		return nil, r.refuse(Malformed, role, "its bytes can be read in two ways")
+	case h.version < 1:
+		return nil, r.refuse(Malformed, role, "version %d", h.version)
+	case !strings.HasPrefix(spec, "1."):
+		return nil, r.refuse(Malformed, role, "specification version %q, 1.x is understood", spec)
+	}
+	return h, nil
+}
+
+// plain reads the bytes as clients may, and gives the sum of the canonical form of the signed part. An
+// object that names a member twice is refused: readers differ in which one they take.
+func plain(data []byte) (sum Sum, err error) {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.UseNumber()
+	if err := once(dec, 0); err != nil {
+		return sum, err
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return sum, fmt.Errorf("bytes behind its end")
+	}
+	var outer map[string]json.RawMessage
+	if err := json.Unmarshal(data, &outer); err != nil {
+		return sum, err
+	}
+	var signed any
+	dec = json.NewDecoder(bytes.NewReader(outer["signed"]))
+	dec.UseNumber()
+	if err := dec.Decode(&signed); err != nil {
+		return sum, err
+	}
+	text, err := cjson.EncodeCanonical(signed)
+	return sha256.Sum256(text), err
+}
+
+// once walks one value and refuses members that come twice. Names that only case parts, which the library
+// takes for one, show in the canonical form.
+func once(dec *json.Decoder, depth int) error {
+	const deepest = 32
+	t, err := dec.Token()
+	if err != nil {
+		return err
+	}
+	d, ok := t.(json.Delim)
+	if !ok {
+		return nil
+	}
+	if depth >= deepest {
+		return fmt.Errorf("more than %d values one inside another", deepest)
+	}
+	names := map[string]bool{}
+	for dec.More() {
+		if d == '{' {
+			t, err := dec.Token()
+			if err != nil {
+				return err
+			}
+			name, _ := t.(string)
+			if names[name] {
+				return fmt.Errorf("member %q comes twice", name)
+			}
+			names[name] = true
+		}
+		if err := once(dec, depth+1); err != nil {
+			return err
+		}
+	}
+	_, err = dec.Token()
+	return err
+}
+
+// soundRoot checks what the library takes for granted: every role with keys that are there.
+func soundRoot(r *Repository, h *held[metadata.RootType]) *Refusal {
+	for _, role := range metadata.TOP_LEVEL_ROLE_NAMES {
+		is := h.Signed.Roles[role]
+		if is == nil || is.Threshold < 1 || len(is.KeyIDs) < is.Threshold {
+			return r.refuse(Malformed, metadata.ROOT, "role %s has too few keys for its threshold", role)
+		}
+		for _, id := range is.KeyIDs {
+			if h.Signed.Keys[id] == nil {
+				return r.refuse(Malformed, metadata.ROOT, "key %.8s of role %s is not there", id, role)
+			}
+		}
+	}
+	return nil
+}
+
+// soundTargets does the same for targets and their delegations.
+func soundTargets(r *Repository, role string, h *held[metadata.TargetsType]) *Refusal {
+	for path, t := range h.Signed.Targets {
+		if t == nil || t.Length < 0 || len(t.Hashes["sha256"]) != sha256.Size {
+			return r.refuse(Malformed, role, "target %s needs a length and a SHA-256", path)
+		}
+	}
+	d := h.Signed.Delegations
+	if d == nil {
+		return nil
+	}
+	if len(d.Roles) > 0 && d.SuccinctRoles != nil {
+		return r.refuse(Malformed, role, "delegations of two kinds")
+	}
+	if s := d.SuccinctRoles; s != nil && (s.BitLength < 1 || s.BitLength > 16 || s.Threshold < 1) {
+		return r.refuse(Malformed, role, "succinct delegations of %d bits", s.BitLength)
+	}
+	names := map[string]bool{}
+	for _, to := range d.Roles {
+		top := slices.Contains(metadata.TOP_LEVEL_ROLE_NAMES[:], to.Name)
+		if top || to.Name == "" || names[to.Name] || to.Threshold < 1 || len(to.KeyIDs) < to.Threshold {
+			return r.refuse(Malformed, role, "delegation to %q", to.Name)
+		}
+		names[to.Name] = true
+	}
+	for id, k := range d.Keys {
+		if k == nil {
+			return r.refuse(Malformed, role, "key %.8s is not there", id)
+		}
+	}
+	return nil
+}
+
+type verifier interface {
+	VerifyDelegate(role string, of any) error
+}
+
+// signed verifies that enough keys of a role have signed, and tells the ways apart in which they have not.
+func (r *Repository) signed(by verifier, role string, what any, signatures []metadata.Signature) *Refusal {
+	err := by.VerifyDelegate(role, what)
+	if err == nil {
+		return nil
+	}
+	keys, threshold := keysOf(by, role)
+	known := 0
+	for _, s := range signatures {
+		if slices.Contains(keys, s.KeyID) {
+			known++
+		}
+	}
+	switch {
+	case known == 0:
+		return r.refuse(Foreign, role, "none of its %d signatures is by a key of the role", len(signatures))
+	case known < threshold:
+		return r.refuse(UnderThreshold, role, "%d of %d signatures", known, threshold)
+	}
+	return r.refuse(WronglySigned, role, "%v", err)
+}
+
+func keysOf(by verifier, role string) (ids []string, threshold int) {
+	switch by := by.(type) {
+	case *metadata.Metadata[metadata.RootType]:
+		if is := by.Signed.Roles[role]; is != nil {
+			return is.KeyIDs, is.Threshold
+		}
+	case *metadata.Metadata[metadata.TargetsType]:
+		if d := by.Signed.Delegations; d != nil && d.SuccinctRoles != nil {
+			return d.SuccinctRoles.KeyIDs, d.SuccinctRoles.Threshold
+		} else if d != nil {
+			for _, to := range d.Roles {
+				if to.Name == role {
+					return to.KeyIDs, to.Threshold
+				}
+			}
+		}
+	}
+	return nil, 0
+}
+
+// sameKeys tells whether two roots name the same keys for a role.
+func sameKeys(a, b *held[metadata.RootType], role string) bool {
+	x, y := slices.Clone(a.Signed.Roles[role].KeyIDs), slices.Clone(b.Signed.Roles[role].KeyIDs)
+	slices.Sort(x)
+	slices.Sort(y)
+	return slices.Equal(x, y)
+}
+
+// delegates tells whether targets delegate to a role.
+func delegates(from *held[metadata.TargetsType], role string) bool {
+	d := from.Signed.Delegations
+	if d == nil {
+		return false
+	}
+	if d.SuccinctRoles != nil {
+		return d.SuccinctRoles.IsDelegatedRole(role)
+	}
+	return slices.ContainsFunc(d.Roles, func(to metadata.DelegatedRole) bool { return to.Name == role })
+}
+
+// fits checks length and hashes that a parent gives for a file, where it gives any (5.5.2, 5.6.2).
+func (r *Repository) fits(role string, named *metadata.MetaFiles, data []byte, most int) *Refusal {
+	if len(data) > most {
+		return r.refuse(Overlong, role, "%d bytes, %d are allowed", len(data), most)
+	}
+	if err := named.VerifyLengthHashes(data); err != nil {
+		return r.refuse(Mismatch, role, "%v", err)
+	}
+	return nil
+}
+
+// holders are the roles of targets that are held, the top-level ones first, else by name.
+func (r *Repository) holders() []string {
+	names := slices.Sorted(maps.Keys(r.targets))
+	if at := slices.Index(names, metadata.TARGETS); at > 0 {
+		names = append([]string{metadata.TARGETS}, slices.Delete(names, at, at+1)...)
+	}
+	return names
+}
--- /dev/null
+++ b/internal/trust/trust.go
@@ -0,0 +1,499 @@
+// Package trust decides what metadata of a repository may be believed and passed on: The Update
+// Framework's client workflow (TUF specification 1.0.31, section 5) and, beside it, Uptane's agreement of
+// two repositories and reports of servers (Uptane Standard 2.1, section 5.4).
+//
+// How to call it: New makes the Repository of one name from its pinned root. Call the one method that
+// names what has come, with the time; it refuses with a Refusal or holds what came. What it depends on
+// for later is first handed to the Host, which must have made it durable when it returns: if it can't,
+// what came is not held. Current says at each moment what may be passed on.
+//
+// The public library (go-tuf) is relied on for the types of metadata, canonical JSON and signatures. Its
+// own workflow is not used, as it reads the clock. What the library leaves open is checked here: that no
+// entry is null, that no object names a member twice, and that the signed part means in its bytes what
+// the library has made of it, as clients read the bytes.
+//
+// Kind: decision
+package trust
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"time"
+
+	"github.com/theupdateframework/go-tuf/v2/metadata"
+)
+
+// Tick is a moment in whole tenths of a millisecond since 1970, UTC.
+type Tick int64
+
+// Second is one second in ticks.
+const Second Tick = 10000
+
+// Of turns a time into ticks.
+func Of(t time.Time) Tick { return Tick(t.UnixMicro() / 100) }
+
+// Time turns ticks into a time.
+func (t Tick) Time() time.Time { return time.UnixMicro(int64(t) * 100).UTC() }
+
+// Limits on what is read, in bytes, and on the walk through delegations (specification 5.3.3, 5.4.1, 5.5.1,
+// 5.6.1 and 5.6.7: the numbers are the implementer's). They guard against endless data; a repository
+// with larger metadata is refused, and parts its targets by delegations.
+const (
+	MostRoot      = 512 << 10
+	MostTimestamp = 16 << 10
+	MostSnapshot  = 2 << 20
+	MostTargets   = 5 << 20
+	MostRoots     = 1024 // of one chain
+	mostRoles     = 32   // visited in search of one target
+	mostHeld      = 256  // roles of targets held at once
+	mostMeta      = 1 << 16
+)
+
+// Why tells what is wrong with a piece of metadata.
+type Why uint8
+
+// The reasons. Same is no fault: it is the version that is held already.
+const (
+	None           Why = iota
+	Same               // it is held already
+	Older              // a newer one was seen
+	Expired            // by the latest time that was ever trusted
+	WronglySigned      // a signature of a key of the role does not fit
+	UnderThreshold     // some signatures fit, but too few
+	Foreign            // no key of the role has signed it: another repository's, or a revoked key's
+	Mismatch           // its length or hash is not what its parent says
+	Mixed              // its version is not what its parent says
+	Conflict           // the version was seen with other content
+	Malformed          // it makes no sense
+	Overlong           // more than is allowed
+	Missing            // what it hangs on is not held
+	Unkept             // what must outlive a restart could not be written
+	Disagree           // Director and Image repository do not say the same
+	Elsewhere          // for another server or another kind of hardware
+	Unnamed            // nothing that is held names it
+	Whys
+)
+
+var whys = [Whys]string{"fine", "the same version", "older than what was seen", "expired", "wrongly signed",
+	"under its threshold", "not of this repository's keys", "not as long or not of the hash its parent says",
+	"not the version its parent says", "seen with other content", "malformed", "too long",
+	"not had yet", "not kept: the floor cannot be written", "not agreed on by both repositories",
+	"for another server", "not named by anything"}
+
+func (w Why) String() string { return whys[min(w, Whys-1)] }
+
+// Refusal says why something is not believed or not passed on.
+type Refusal struct {
+	Why              Why
+	Repository, Role string
+	Text             string
+}
+
+func (r *Refusal) Error() string {
+	s := r.Repository + " " + r.Role + ": " + r.Why.String()
+	if r.Text != "" {
+		s += ": " + r.Text
+	}
+	return s
+}
+
+// Sum is the SHA-256 of the canonical form of what was signed.
+type Sum [sha256.Size]byte
+
+// Host keeps what must outlive this process. Both kinds of writing are durable when they return, or have
+// failed and changed nothing that a later Seen tells.
+type Host interface {
+	Seen(key string) (version int64, sum Sum) // 0 for never
+	Raise(key string, version int64, sum Sum) error
+	Passed() Tick // the latest time that was ever trusted
+	Pass(now Tick) error
+	Log(text string)
+}
+
+// Repository is what is believed of one repository.
+type Repository struct {
+	name  string
+	host  Host
+	now   Tick // the latest time ever trusted
+	root  *held[metadata.RootType]
+	roots map[int64][]byte // the chain from the pinned root on
+	first int64
+	era   int64 // the root version that last changed the keys of timestamp or snapshot
+
+	stamp   *held[metadata.TimestampType]
+	snap    *held[metadata.SnapshotType]
+	targets map[string]*held[metadata.TargetsType]
+	Refused [Whys]int64 // how often, by reason
+}
+
+// held is one piece of metadata that was verified.
+type held[T metadata.Roles] struct {
+	*metadata.Metadata[T]
+	bytes   []byte
+	version int64
+	expires Tick
+	sum     Sum
+	by      string // the role that delegated to it, for targets
+}
+
+// New starts from a pinned root, which is trusted as it is if it is signed by its own keys.
+// The newest root that was ever seen must be reached by Root before anything else is believed.
+func New(name string, host Host, now Tick, pinned []byte) (*Repository, error) {
+	r := &Repository{name: name, host: host, now: host.Passed(), targets: map[string]*held[metadata.TargetsType]{}}
+	r.pass(now)
+	root, refusal := read[metadata.RootType](r, metadata.ROOT, pinned, MostRoot)
+	if refusal == nil {
+		refusal = soundRoot(r, root)
+	}
+	if refusal == nil {
+		refusal = r.signed(root.Metadata, metadata.ROOT, root.Metadata, root.Signatures)
+	}
+	if refusal != nil {
+		return nil, refusal
+	}
+	r.roots, r.first = map[int64][]byte{root.version: root.bytes}, root.version
+	r.root, r.era = root, root.version
+	return r, nil
+}
+
+func (r *Repository) refuse(why Why, role, form string, args ...any) *Refusal {
+	r.Refused[why]++
+	return &Refusal{why, r.name, role, fmt.Sprintf(form, args...)}
+}
+
+// pass lets time go on. A clock that jumps back moves nothing: what has expired stays so. This guards
+// against clocks that start in 1970 or are set back; it hurts after a clock was far ahead once, as
+// then all is expired until an operator lowers the floor's time.
+func (r *Repository) pass(now Tick) { r.now = max(r.now, now) }
+
+// Beat lets time go on while nothing else happens, and makes it durable in steps.
+func (r *Repository) Beat(now Tick) {
+	const step = 5 * Second // what a restart with a clock set back may lose
+	if r.pass(now); r.now >= r.host.Passed()+step {
+		if err := r.host.Pass(r.now); err != nil {
+			r.host.Log(fmt.Sprintf("%s: the time is not kept: %v", r.name, err))
+		}
+	}
+}
+
+// lapsed refuses what has expired, and makes durable that it has, so that no clock undoes it.
+func (r *Repository) lapsed(role string, expires Tick, form string, args ...any) *Refusal {
+	if r.host.Passed() < expires {
+		if err := r.host.Pass(r.now); err != nil {
+			r.host.Log(fmt.Sprintf("%s: the time is not kept: %v", r.name, err))
+		}
+	}
+	return r.refuse(Expired, role, form, args...)
+}
+
+// Root takes the next root of the chain (5.3). Both the root before it and it itself must have signed it.
+func (r *Repository) Root(now Tick, data []byte) *Refusal {
+	r.pass(now)
+	next, refusal := read[metadata.RootType](r, metadata.ROOT, data, MostRoot)
+	if refusal != nil {
+		return refusal
+	}
+	switch want := r.root.version + 1; {
+	case next.version == r.root.version && next.sum == r.root.sum:
+		return r.refuse(Same, metadata.ROOT, "version %d", next.version)
+	case next.version < want:
+		return r.refuse(Older, metadata.ROOT, "version %d, %d is held", next.version, r.root.version)
+	case next.version > want:
+		return r.refuse(Mixed, metadata.ROOT, "version %d, the next is %d", next.version, want)
+	case len(r.roots) >= MostRoots:
+		return r.refuse(Overlong, metadata.ROOT, "a chain of more than %d", MostRoots)
+	}
+	if refusal = soundRoot(r, next); refusal != nil {
+		return refusal
+	}
+	if refusal = r.signed(r.root.Metadata, metadata.ROOT, next.Metadata, next.Signatures); refusal != nil {
+		return refusal
+	}
+	if refusal = r.signed(next.Metadata, metadata.ROOT, next.Metadata, next.Signatures); refusal != nil {
+		return refusal
+	}
+	if refusal = r.raise(metadata.ROOT, metadata.ROOT, next.version, next.sum); refusal != nil {
+		return refusal
+	}
+	// 5.3.11: with new keys for timestamp or snapshot what the old ones signed is forgotten, also from
+	// the floor, so that a stolen key that signed a version far ahead does not last.
+	if !sameKeys(r.root, next, metadata.TIMESTAMP) || !sameKeys(r.root, next, metadata.SNAPSHOT) {
+		r.era, r.stamp, r.snap = next.version, nil, nil
+		clear(r.targets)
+		r.host.Log(fmt.Sprintf("%s: root %d has new keys for timestamp or snapshot: versions count anew", r.name,
+			next.version))
+	}
+	r.root = next
+	r.roots[next.version] = next.bytes
+	for role, t := range r.targets { // keys of the targets may have been revoked
+		if t.by == metadata.ROOT && !r.believes(t) {
+			r.forget(role)
+		}
+	}
+	return nil
+}
+
+// believes tells whether the root now held still vouches for the top-level targets.
+func (r *Repository) believes(t *held[metadata.TargetsType]) bool {
+	return r.root.VerifyDelegate(metadata.TARGETS, t.Metadata) == nil
+}
+
+// forget drops a role of targets and all that it delegated to.
+func (r *Repository) forget(role string) {
+	delete(r.targets, role)
+	for name, t := range r.targets {
+		if t.by == role && name != role {
+			r.forget(name)
+		}
+	}
+}
+
+// rooted: the newest root that was ever seen is held, and has not expired (5.3.10).
+func (r *Repository) rooted(role string) *Refusal {
+	seen, sum := r.host.Seen(r.key(metadata.ROOT))
+	switch {
+	case r.root.version < seen:
+		return r.refuse(Missing, role, "root %d was seen before, %d is held", seen, r.root.version)
+	case r.root.version == seen && seen > r.first && sum != r.root.sum:
+		return r.refuse(Conflict, role, "root %d was seen before with other content", seen)
+	case r.now >= r.root.expires:
+		return r.lapsed(role, r.root.expires, "root %d expired at %s", r.root.version, r.root.expires.Time())
+	}
+	return nil
+}
+
+// Timestamp takes a timestamp (5.4). One of the version held, with the same content, is refused as Same.
+func (r *Repository) Timestamp(now Tick, data []byte) *Refusal {
+	r.pass(now)
+	const role = metadata.TIMESTAMP
+	if refusal := r.rooted(role); refusal != nil {
+		return refusal
+	}
+	stamp, refusal := read[metadata.TimestampType](r, role, data, MostTimestamp)
+	if refusal != nil {
+		return refusal
+	}
+	meta := stamp.Signed.Meta["snapshot.json"]
+	if meta == nil || meta.Version < 1 || len(stamp.Signed.Meta) != 1 {
+		return r.refuse(Malformed, role, "it must name the snapshot, and nothing else")
+	}
+	if refusal = r.signed(r.root.Metadata, role, stamp.Metadata, stamp.Signatures); refusal != nil {
+		return refusal
+	}
+	if h := r.stamp; h != nil && stamp.version == h.version && stamp.sum == h.sum {
+		if r.now >= stamp.expires {
+			return r.lapsed(role, stamp.expires, "version %d expired at %s", stamp.version, stamp.expires.Time())
+		}
+		return r.refuse(Same, role, "version %d", stamp.version)
+	}
+	if refusal = r.fresh(role, stamp.version, stamp.sum, stamp.expires); refusal != nil {
+		return refusal
+	}
+	if seen, _ := r.host.Seen(r.key("snapshot")); meta.Version < seen {
+		return r.refuse(Older, role, "it names snapshot %d, %d was seen", meta.Version, seen)
+	}
+	if refusal = r.raise(role, r.key(role), stamp.version, stamp.sum); refusal != nil {
+		return refusal
+	}
+	r.stamp = stamp
+	return nil
+}
+
+// Snapshot takes the snapshot that the timestamp names (5.5).
+func (r *Repository) Snapshot(now Tick, data []byte) *Refusal {
+	r.pass(now)
+	const role = metadata.SNAPSHOT
+	if refusal := r.rooted(role); refusal != nil {
+		return refusal
+	}
+	if r.stamp == nil {
+		return r.refuse(Missing, role, "no timestamp")
+	}
+	if r.now >= r.stamp.expires {
+		return r.lapsed(role, r.stamp.expires, "the timestamp expired at %s", r.stamp.expires.Time())
+	}
+	named := r.stamp.Signed.Meta["snapshot.json"]
+	if refusal := r.fits(role, named, data, MostSnapshot); refusal != nil {
+		return refusal
+	}
+	snap, refusal := read[metadata.SnapshotType](r, role, data, MostSnapshot)
+	if refusal != nil {
+		return refusal
+	}
+	if len(snap.Signed.Meta) > mostMeta {
+		return r.refuse(Overlong, role, "%d files", len(snap.Signed.Meta))
+	}
+	for name, m := range snap.Signed.Meta {
+		if m == nil || m.Version < 1 {
+			return r.refuse(Malformed, role, "%s without a version", name)
+		}
+	}
+	if snap.Signed.Meta["targets.json"] == nil {
+		return r.refuse(Malformed, role, "it does not name the targets")
+	}
+	if refusal = r.signed(r.root.Metadata, role, snap.Metadata, snap.Signatures); refusal != nil {
+		return refusal
+	}
+	if snap.version != named.Version {
+		return r.refuse(Mixed, role, "version %d, the timestamp names %d", snap.version, named.Version)
+	}
+	if r.snap != nil && snap.version == r.snap.version && snap.sum == r.snap.sum {
+		return r.refuse(Same, role, "version %d", snap.version)
+	}
+	if refusal = r.fresh(role, snap.version, snap.sum, snap.expires); refusal != nil {
+		return refusal
+	}
+	if r.snap != nil { // 5.5.5: nothing goes back or away
+		for name, was := range r.snap.Signed.Meta {
+			switch is := snap.Signed.Meta[name]; {
+			case is == nil:
+				return r.refuse(Older, role, "%s is no longer named", name)
+			case is.Version < was.Version:
+				return r.refuse(Older, role, "it names %s %d, %d was named", name, is.Version, was.Version)
+			}
+		}
+	}
+	if seen, _ := r.host.Seen(r.key("targets")); snap.Signed.Meta["targets.json"].Version < seen {
+		return r.refuse(Older, role, "it names targets %d, %d was seen", snap.Signed.Meta["targets.json"].Version, seen)
+	}
+	if refusal = r.raise(role, r.key(role), snap.version, snap.sum); refusal != nil {
+		return refusal
+	}
+	r.snap = snap
+	for name := range r.targets {
+		if m := snap.Signed.Meta[name+".json"]; m == nil || m.Version != r.targets[name].version {
+			r.forget(name)
+		}
+	}
+	return nil
+}
+
+// Targets takes the targets of a role (5.6): the top-level ones, or those of a role that targets held
+// already delegate to.
+func (r *Repository) Targets(now Tick, role string, data []byte) *Refusal {
+	r.pass(now)
+	if refusal := r.snapped(role); refusal != nil {
+		return refusal
+	}
+	named := r.snap.Signed.Meta[role+".json"]
+	if named == nil {
+		return r.refuse(Unnamed, role, "the snapshot does not name it")
+	}
+	if refusal := r.fits(role, named, data, MostTargets); refusal != nil {
+		return refusal
+	}
+	t, refusal := read[metadata.TargetsType](r, role, data, MostTargets)
+	if refusal != nil {
+		return refusal
+	}
+	if refusal = soundTargets(r, role, t); refusal != nil {
+		return refusal
+	}
+	if t.by, refusal = r.vouched(role, t); refusal != nil {
+		return refusal
+	}
+	if t.version != named.Version {
+		return r.refuse(Mixed, role, "version %d, the snapshot names %d", t.version, named.Version)
+	}
+	if h := r.targets[role]; h != nil && h.version == t.version && h.sum == t.sum {
+		return r.refuse(Same, role, "version %d", t.version)
+	}
+	if refusal = r.fresh(role, t.version, t.sum, t.expires); refusal != nil {
+		return refusal
+	}
+	if len(r.targets) >= mostHeld && r.targets[role] == nil {
+		return r.refuse(Overlong, role, "%d roles are held", mostHeld)
+	}
+	if refusal = r.raise(role, r.key(role), t.version, t.sum); refusal != nil {
+		return refusal
+	}
+	r.targets[role] = t
+	return nil
+}
+
+// vouched finds who delegates to a role and verifies its signatures by that.
+func (r *Repository) vouched(role string, t *held[metadata.TargetsType]) (by string, refusal *Refusal) {
+	if role == metadata.TARGETS {
+		return metadata.ROOT, r.signed(r.root.Metadata, role, t.Metadata, t.Signatures)
+	}
+	for _, name := range r.holders() {
+		from := r.targets[name]
+		if !delegates(from, role) || name == role {
+			continue
+		}
+		if refusal = r.signed(from.Metadata, role, t.Metadata, t.Signatures); refusal == nil {
+			return name, nil
+		}
+	}
+	if refusal == nil {
+		refusal = r.refuse(Missing, role, "no targets that are held delegate to it")
+	}
+	return "", refusal
+}
+
+// snapped: timestamp and snapshot are held, fit together and have not expired.
+func (r *Repository) snapped(role string) *Refusal {
+	if refusal := r.rooted(role); refusal != nil {
+		return refusal
+	}
+	switch {
+	case r.stamp == nil:
+		return r.refuse(Missing, role, "no timestamp")
+	case r.now >= r.stamp.expires:
+		return r.lapsed(role, r.stamp.expires, "the timestamp expired at %s", r.stamp.expires.Time())
+	case r.snap == nil || r.snap.version != r.stamp.Signed.Meta["snapshot.json"].Version:
+		return r.refuse(Missing, role, "no snapshot %d", r.stamp.Signed.Meta["snapshot.json"].Version)
+	case r.now >= r.snap.expires:
+		return r.lapsed(role, r.snap.expires, "the snapshot expired at %s", r.snap.expires.Time())
+	}
+	return nil
+}
+
+// fresh: it has not expired, and nothing newer or of the same version but other content was ever seen.
+func (r *Repository) fresh(role string, version int64, sum Sum, expires Tick) *Refusal {
+	seen, was := r.host.Seen(r.key(role))
+	switch {
+	case version < seen:
+		return r.refuse(Older, role, "version %d, %d was seen", version, seen)
+	case version == seen && sum != was:
+		return r.refuse(Conflict, role, "version %d", version)
+	case r.now >= expires:
+		return r.lapsed(role, expires, "version %d expired at %s", version, expires.Time())
+	}
+	return nil
+}
+
+// raise makes a version durable before anything depends on it, and the time with it.
+func (r *Repository) raise(role, key string, version int64, sum Sum) *Refusal {
+	if role == metadata.ROOT {
+		key = r.key(role)
+	}
+	switch seen, was := r.host.Seen(key); {
+	case version == seen && sum == was, role == metadata.ROOT && version < seen:
+		return nil // known from before a restart
+	case version == seen:
+		return r.refuse(Conflict, role, "version %d", version)
+	}
+	err := r.host.Raise(key, version, sum)
+	if err == nil && r.now > r.host.Passed()+Second {
+		err = r.host.Pass(r.now)
+	}
+	if err != nil {
+		return r.refuse(Unkept, role, "%v", err)
+	}
+	return nil
+}
+
+// key names a role for the floor. All but the root count by the era of their keys.
+func (r *Repository) key(role string) string {
+	if role == metadata.ROOT {
+		return r.name + "/root"
+	}
+	return fmt.Sprintf("%s/%d/%s", r.name, r.era, role)
+}
+
+// Next is the version of the root that would come next.
+func (r *Repository) Next() int64 { return r.root.version + 1 }
+
+// Name is the repository's name.
+func (r *Repository) Name() string { return r.name }
--- /dev/null
+++ b/internal/trust/uptane.go
@@ -0,0 +1,246 @@
+package trust
+
+import (
+	"bytes"
+	"crypto"
+	"crypto/ecdsa"
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/secure-systems-lab/go-securesystemslib/cjson"
+	"github.com/theupdateframework/go-tuf/v2/metadata"
+)
+
+// Assignment is what a server is told to run, once both repositories agree on it.
+type Assignment struct {
+	Target          // as the Director names it
+	Image    Target // as the Image repository does
+	Hardware string
+}
+
+// Agree holds a Director's targets against the Image repository (full verification, Uptane Standard
+// 5.4.4.2): every target that names the server must be known to both with the same length, hash and build,
+// and fit the server's kind of hardware. Targets for other servers are left out. need names a role of the
+// Image repository that is to be fetched first.
+func Agree(now Tick, director, image *Repository, server, hardware string) (all []*Assignment, need string,
+	refusal *Refusal) {
+	told, refusal := director.Assigned(now)
+	if refusal != nil {
+		return nil, "", refusal
+	}
+	for _, t := range told {
+		kind, ok := t.Custom.ECUs[server]
+		if !ok {
+			continue
+		}
+		if kind != hardware {
+			return nil, "", director.refuse(Elsewhere, t.Path, "it is for %s, %s is %s", kind, server, hardware)
+		}
+		is, need, refusal := image.Find(now, t.Path)
+		if need != "" || refusal != nil {
+			return nil, need, refusal
+		}
+		if refusal := director.Compare(t, is, hardware); refusal != nil {
+			return nil, "", refusal
+		}
+		all = append(all, &Assignment{*t, *is, hardware})
+	}
+	return all, "", nil
+}
+
+// Compare holds a target of a Director against the one of the Image repository.
+func (r *Repository) Compare(told, is *Target, hardware string) *Refusal {
+	fits := len(is.Custom.Kinds) == 0
+	for _, k := range is.Custom.Kinds {
+		fits = fits || k == hardware
+	}
+	switch {
+	case told.Length != is.Length:
+		return r.refuse(Disagree, told.Path, "length %d and %d", told.Length, is.Length)
+	case told.Sum != is.Sum:
+		return r.refuse(Disagree, told.Path, "hash %x and %x", told.Sum[:4], is.Sum[:4])
+	case told.Custom.Build != is.Custom.Build:
+		return r.refuse(Disagree, told.Path, "build %d and %d", told.Custom.Build, is.Custom.Build)
+	case !fits:
+		return r.refuse(Disagree, told.Path, "it does not fit %s", hardware)
+	}
+	return nil
+}
+
+// Partial verifies a Director's targets alone, for servers that hold no more than the Director's keys for
+// them (partial verification, Uptane Standard 5.4.4.1): signed, not expired, no older than seen, and naming
+// no other server only. It keeps its floor under the name that is given.
+func Partial(now Tick, host Host, name string, by *metadata.Metadata[metadata.RootType], data []byte,
+	server string) ([]*Target, *Refusal) {
+	r := &Repository{name: name, host: host, now: host.Passed(), root: &held[metadata.RootType]{Metadata: by}}
+	r.pass(now)
+	const role = metadata.TARGETS
+	t, refusal := read[metadata.TargetsType](r, role, data, MostTargets)
+	if refusal == nil {
+		refusal = soundTargets(r, role, t)
+	}
+	if refusal == nil {
+		refusal = r.signed(by, role, t.Metadata, t.Signatures)
+	}
+	if refusal == nil {
+		refusal = r.fresh(role, t.version, t.sum, t.expires)
+	}
+	if refusal != nil {
+		return nil, refusal
+	}
+	var mine []*Target
+	for path, is := range t.Signed.Targets {
+		if one := target(path, role, is); one.Custom.ECUs[server] != "" {
+			mine = append(mine, one)
+		}
+	}
+	if len(mine) == 0 && len(t.Signed.Targets) > 0 {
+		return nil, r.refuse(Elsewhere, role, "nothing in it is for %s", server)
+	}
+	if refusal = r.raise(role, r.key(role), t.version, t.sum); refusal != nil {
+		return nil, refusal
+	}
+	return mine, nil
+}
+
+// Report is what a server says of itself: an Uptane version report of one ECU (Uptane Standard 5.4.2.1).
+type Report struct {
+	Type      string    `json:"_type"` // "report"
+	Server    string    `json:"server"`
+	Hardware  string    `json:"hardware"`
+	Counter   int64     `json:"counter"` // grows with each report
+	At        time.Time `json:"at"`
+	Running   string    `json:"running"` // path of the target that it runs, empty for none
+	Build     uint16    `json:"build"`
+	Installed string    `json:"installed"` // "", "ok", "failed" or "declined": how the last installation went
+	Tried     string    `json:"tried"`     // path of the target that was to be installed
+	Attack    string    `json:"attack"`    // what it refused, and why
+}
+
+// Manifest is a signed report.
+type Manifest struct {
+	Signed     json.RawMessage      `json:"signed"`
+	Signatures []metadata.Signature `json:"signatures"`
+}
+
+// MostReport bounds a manifest, in bytes.
+const MostReport = 16 << 10
+
+// SignReport makes the manifest of a report: Ed25519 over the canonical form, or ECDSA over its SHA-256.
+func SignReport(r Report, by crypto.Signer) ([]byte, error) {
+	r.Type, r.At = "report", r.At.UTC()
+	text, err := cjson.EncodeCanonical(r)
+	if err != nil {
+		return nil, err
+	}
+	key, err := metadata.KeyFromPublicKey(by.Public())
+	if err != nil {
+		return nil, err
+	}
+	id, err := key.ID()
+	if err != nil {
+		return nil, err
+	}
+	var sig []byte
+	if _, ok := by.Public().(ed25519.PublicKey); ok {
+		sig, err = by.Sign(rand.Reader, text, crypto.Hash(0))
+	} else {
+		sum := sha256.Sum256(text)
+		sig, err = by.Sign(rand.Reader, sum[:], crypto.SHA256)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(Manifest{text, []metadata.Signature{{KeyID: id, Signature: sig}}})
+}
+
+// Fleet is what is believed of the reports of a fleet's servers.
+type Fleet struct {
+	host    Host
+	keys    map[string]crypto.PublicKey // by server
+	Refused [Whys]int64
+}
+
+// NewFleet starts with the keys of its servers.
+func NewFleet(host Host, keys map[string]crypto.PublicKey) *Fleet {
+	return &Fleet{host: host, keys: keys}
+}
+
+// Keys replaces the keys of the servers; what was counted stays.
+func (f *Fleet) Keys(keys map[string]crypto.PublicKey) { f.keys = keys }
+
+func (f *Fleet) refuse(why Why, server, form string, args ...any) *Refusal {
+	f.Refused[why]++
+	return &Refusal{why, "reports", server, fmt.Sprintf(form, args...)}
+}
+
+// Take verifies the report of a server: signed by its key, its own, and counted further than any before.
+// One that came already is refused as Same: its sender has its answer again, nothing is done twice.
+func (f *Fleet) Take(server string, data []byte) (*Report, *Refusal) {
+	if len(data) > MostReport {
+		return nil, f.refuse(Overlong, server, "%d bytes, %d are allowed", len(data), MostReport)
+	}
+	sum, err := plain(data)
+	if err != nil {
+		return nil, f.refuse(Malformed, server, "%v", err)
+	}
+	var m Manifest
+	var r Report
+	if err := json.Unmarshal(data, &m); err != nil {
+		return nil, f.refuse(Malformed, server, "%v", err)
+	}
+	dec := json.NewDecoder(bytes.NewReader(m.Signed))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&r); err != nil {
+		return nil, f.refuse(Malformed, server, "%v", err)
+	}
+	text, err := cjson.EncodeCanonical(r)
+	if err != nil || r.Type != "report" || r.Counter < 1 {
+		return nil, f.refuse(Malformed, server, "no report")
+	}
+	if again, err := plain([]byte(`{"signed":` + string(text) + `}`)); err != nil || again != sum {
+		return nil, f.refuse(Malformed, server, "its bytes can be read in two ways")
+	}
+	if r.Server != server {
+		return nil, f.refuse(Elsewhere, server, "it is %q's", r.Server)
+	}
+	key := f.keys[server]
+	if key == nil {
+		return nil, f.refuse(Foreign, server, "no key of it is known")
+	}
+	fits := false
+	for _, s := range m.Signatures {
+		fits = fits || verifies(key, s.Signature, text)
+	}
+	if !fits {
+		return nil, f.refuse(WronglySigned, server, "%d signatures, none by its key", len(m.Signatures))
+	}
+	name := "report/" + server
+	switch seen, was := f.host.Seen(name); {
+	case r.Counter < seen:
+		return nil, f.refuse(Older, server, "report %d, %d was seen", r.Counter, seen)
+	case r.Counter == seen && sum == was:
+		return nil, f.refuse(Same, server, "report %d", seen)
+	case r.Counter == seen:
+		return nil, f.refuse(Conflict, server, "report %d", seen)
+	}
+	if err := f.host.Raise(name, r.Counter, sum); err != nil {
+		return nil, f.refuse(Unkept, server, "%v", err)
+	}
+	return &r, nil
+}
+
+func verifies(key crypto.PublicKey, sig, text []byte) bool {
+	switch key := key.(type) {
+	case ed25519.PublicKey:
+		return ed25519.Verify(key, text, sig)
+	case *ecdsa.PublicKey:
+		sum := sha256.Sum256(text)
+		return ecdsa.VerifyASN1(key, sum[:], sig)
+	}
+	return false
+}
