--- /dev/null
+++ b/internal/floor/memory.go
@@ -0,0 +1,77 @@
+package floor
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+
+	"silvercove/internal/trust"
+)
+
+// Memory keeps the same for an installation without a lasting disk: nothing outlives the process.
+type Memory struct {
+	most   int
+	log    func(string)
+	mu     sync.Mutex
+	marks  map[string]mark
+	passed trust.Tick
+}
+
+// InMemory makes one of at most so many entries.
+func InMemory(most int, log func(string)) *Memory {
+	return &Memory{most: most, log: log, marks: map[string]mark{}}
+}
+
+// Seen tells the highest version of a key.
+func (f *Memory) Seen(key string) (int64, trust.Sum) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.marks[key].version, f.marks[key].sum
+}
+
+// Raise keeps a version; an older one, or the same with other content, is an error.
+func (f *Memory) Raise(key string, version int64, sum trust.Sum) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	was, ok := f.marks[key]
+	switch {
+	case version < was.version:
+		return fmt.Errorf("floor: %s %d: %w", key, version, ErrOlder)
+	case ok && version == was.version && sum != was.sum:
+		return fmt.Errorf("floor: %s %d: %w", key, version, ErrConflict)
+	case !ok && len(f.marks) >= f.most:
+		return fmt.Errorf("floor: %d entries: %w", len(f.marks), ErrFull)
+	}
+	f.marks[key] = mark{version, sum}
+	return nil
+}
+
+// Passed tells the latest time that was ever trusted.
+func (f *Memory) Passed() trust.Tick {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.passed
+}
+
+// Pass keeps a time.
+func (f *Memory) Pass(now trust.Tick) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.passed = max(f.passed, now)
+	return nil
+}
+
+// Log passes a line on.
+func (f *Memory) Log(text string) { f.log(text) }
+
+// Entries lists what is held, by key.
+func (f *Memory) Entries() []Entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []Entry
+	for _, key := range slices.Sorted(maps.Keys(f.marks)) {
+		all = append(all, Entry{key, f.marks[key].version, f.marks[key].sum})
+	}
+	return all
+}
--- /dev/null
+++ b/internal/repo/repo.go
@@ -0,0 +1,770 @@
+// Package repo owns a TUF repository on disk as its keepers work on it: what is published, what is staged
+// and waits for signatures, and the steps between. Each version number is reserved in a floor of
+// the repository's own before anything signed with it can be seen, so that a number is never given to
+// two contents, also when the program is killed between signing and publishing.
+//
+// The folder holds metadata/ and targets/, which are served as they are, staged/, and issued.floor.
+//
+// Kind: state
+package repo
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"maps"
+	"os"
+	"path"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/renameio/v2"
+	"github.com/theupdateframework/go-tuf/v2/metadata"
+
+	"silvercove/internal/floor"
+	"silvercove/internal/keys"
+	"silvercove/internal/trust"
+)
+
+// Errors of a repository.
+var (
+	ErrNone      = errors.New("no repository here: run tuf init first")
+	ErrExists    = errors.New("a repository is here already")
+	ErrUnsigned  = errors.New("not signed by as many keys as its threshold asks for")
+	ErrNotStaged = errors.New("nothing of this role is staged")
+	ErrKey       = errors.New("the role does not know this key")
+)
+
+// PieceSize is how many bytes of a target each sum is of that is published beside the whole's.
+const PieceSize = 256 << 10
+
+// Life is how long each role's metadata last from their signing.
+type Life struct{ Root, Targets, Snapshot, Timestamp time.Duration }
+
+// Lives are what TUF's own repositories commonly use: long for offline keys, short for online ones.
+var Lives = Life{365 * 24 * time.Hour, 90 * 24 * time.Hour, 7 * 24 * time.Hour, 24 * time.Hour}
+
+// Repo is one repository that is open for work.
+type Repo struct {
+	dir    string
+	floor  *floor.Floor
+	Life   Life
+	Now    func() time.Time
+	Halted func(step string) bool // in tests: the program dies before this step
+}
+
+// Role is one top-level role of a new root: its keys' public parts and how many must sign.
+type Role struct {
+	Keys      []*metadata.Key
+	Threshold int
+}
+
+// Init makes the folders of a repository and stages its first root.
+func Init(dir string, roles map[string]Role, consistent bool, life Life) (*Repo, error) {
+	if _, err := os.Stat(filepath.Join(dir, "metadata")); err == nil {
+		return nil, fmt.Errorf("%s: %w", dir, ErrExists)
+	}
+	for _, sub := range []string{"metadata", "targets", "staged"} {
+		if err := os.MkdirAll(filepath.Join(dir, sub), 0o755); err != nil {
+			return nil, err
+		}
+	}
+	r, err := Open(dir)
+	if err != nil {
+		return nil, err
+	}
+	r.Life = life
+	root := metadata.Root(r.until(life.Root))
+	root.Signed.ConsistentSnapshot = consistent
+	for _, name := range metadata.TOP_LEVEL_ROLE_NAMES {
+		role := roles[name]
+		if role.Threshold < 1 || len(role.Keys) < role.Threshold {
+			r.Close()
+			return nil, fmt.Errorf("role %s: %d keys for a threshold of %d", name, len(role.Keys), role.Threshold)
+		}
+		for _, k := range role.Keys {
+			if err := root.Signed.AddKey(k, name); err != nil {
+				r.Close()
+				return nil, err
+			}
+		}
+		root.Signed.Roles[name].Threshold = role.Threshold
+	}
+	if err := stage(r, metadata.ROOT, root); err != nil {
+		return nil, err
+	}
+	targets := metadata.Targets(r.until(life.Targets))
+	return r, stage(r, metadata.TARGETS, targets)
+}
+
+// Open opens a repository that Init made. One process at a time may have it open.
+func Open(dir string) (*Repo, error) {
+	if _, err := os.Stat(filepath.Join(dir, "metadata")); err != nil {
+		return nil, fmt.Errorf("%s: %w", dir, ErrNone)
+	}
+	f, err := floor.Open([]string{filepath.Join(dir, "issued.floor")}, 1<<16, func(string) {})
+	if err != nil {
+		return nil, err
+	}
+	return &Repo{dir: dir, floor: f, Life: Lives, Now: time.Now, Halted: func(string) bool { return false }}, nil
+}
+
+// Close lets others open it.
+func (r *Repo) Close() error { return r.floor.Close() }
+
+func (r *Repo) until(life time.Duration) time.Time {
+	return r.Now().Add(life).UTC().Truncate(time.Second)
+}
+
+func (r *Repo) published(name string) string { return filepath.Join(r.dir, "metadata", name) }
+
+func (r *Repo) staged(role string) string {
+	return filepath.Join(r.dir, "staged", trust.File{Role: role}.String())
+}
+
+func write(name string, text []byte) error {
+	return renameio.WriteFile(name, text, 0o644, renameio.WithTempDir(filepath.Dir(name)))
+}
+
+func stage[T metadata.Roles](r *Repo, role string, m *metadata.Metadata[T]) error {
+	text, err := m.ToBytes(true)
+	if err != nil {
+		return err
+	}
+	return write(r.staged(role), text)
+}
+
+// load reads what is staged of a role, or else its newest published metadata.
+func load[T metadata.Roles](r *Repo, role string) (m *metadata.Metadata[T], staged bool, err error) {
+	m = &metadata.Metadata[T]{}
+	text, err := os.ReadFile(r.staged(role))
+	if staged = err == nil; !staged {
+		f, newest, err := r.newest(role)
+		if err != nil {
+			return nil, false, err
+		}
+		if newest == 0 {
+			return nil, false, fmt.Errorf("%s: %w", role, ErrNotStaged)
+		}
+		if text, err = os.ReadFile(r.published(f)); err != nil {
+			return nil, false, err
+		}
+	}
+	if _, err := m.FromBytes(text); err != nil {
+		return nil, false, fmt.Errorf("%s: %w", role, err)
+	}
+	return m, staged, nil
+}
+
+// newest finds the highest published version of a role, 0 for none.
+func (r *Repo) newest(role string) (file string, version int64, err error) {
+	all, err := os.ReadDir(filepath.Join(r.dir, "metadata"))
+	if err != nil {
+		return "", 0, err
+	}
+	for _, e := range all {
+		f, ok := trust.ParseFile(e.Name())
+		if !ok || f.Role != role {
+			continue
+		}
+		v := f.Version
+		if v == 0 {
+			if v, err = r.versionIn(e.Name()); err != nil {
+				return "", 0, err
+			}
+		}
+		if v > version {
+			file, version = e.Name(), v
+		}
+	}
+	return file, version, nil
+}
+
+func (r *Repo) versionIn(file string) (int64, error) {
+	var m struct{ Signed struct{ Version int64 } }
+	text, err := os.ReadFile(r.published(file))
+	if err == nil {
+		err = json.Unmarshal(text, &m)
+	}
+	return m.Signed.Version, err
+}
+
+// next is the version that comes after all that were published or ever reserved.
+func (r *Repo) next(role string) (int64, error) {
+	_, newest, err := r.newest(role)
+	reserved, _ := r.floor.Seen(role)
+	return max(newest, reserved) + 1, err
+}
+
+// open gives the metadata of a role to change: what is staged, with its signatures taken off, as they no longer
+// fit, or a next version.
+func open[T metadata.Roles](r *Repo, role string, set func(m *metadata.Metadata[T], version int64)) (*metadata.Metadata[T], error) {
+	m, staged, err := load[T](r, role)
+	if err != nil {
+		return nil, err
+	}
+	m.ClearSignatures()
+	if !staged {
+		v, err := r.next(role)
+		if err != nil {
+			return nil, err
+		}
+		set(m, v)
+	}
+	return m, nil
+}
+
+func (r *Repo) openTargets(role string) (*metadata.Metadata[metadata.TargetsType], error) {
+	return open(r, role, func(m *metadata.Metadata[metadata.TargetsType], v int64) {
+		m.Signed.Version, m.Signed.Expires = v, r.until(r.Life.Targets)
+	})
+}
+
+// Add takes a file into the repository as a target of a role, and stages the role's next targets. The file is
+// stored at once under its hash; it is vouched for once the targets are signed and published.
+func (r *Repo) Add(role, file, as string, build uint16, kinds []string) error {
+	if !fs.ValidPath(as) || as == "." || strings.Contains(as, `\`) {
+		return fmt.Errorf("target path %q: a relative path without dots is wanted", as)
+	}
+	m, err := r.openTargets(role)
+	if err != nil {
+		return err
+	}
+	in, err := os.Open(file)
+	if err != nil {
+		return err
+	}
+	defer in.Close()
+	t, err := describe(in, as, build, kinds)
+	if err != nil {
+		return err
+	}
+	if err := r.store(in, t); err != nil {
+		return err
+	}
+	m.Signed.Targets[as] = t
+	return stage(r, role, m)
+}
+
+// describe reads a file through and gives length, sums and our own fields of it.
+func describe(in io.ReadSeeker, as string, build uint16, kinds []string) (*metadata.TargetFiles, error) {
+	if _, err := in.Seek(0, io.SeekStart); err != nil {
+		return nil, err
+	}
+	t := metadata.TargetFile()
+	t.Path = as
+	custom := trust.Custom{Build: build, Kinds: kinds, Piece: PieceSize}
+	whole, buf := sha256.New(), make([]byte, PieceSize)
+	for {
+		n, err := io.ReadFull(in, buf)
+		if n > 0 {
+			whole.Write(buf[:n])
+			sum := sha256.Sum256(buf[:n])
+			custom.Pieces = append(custom.Pieces, hex.EncodeToString(sum[:]))
+			t.Length += int64(n)
+		}
+		if err == io.EOF || err == io.ErrUnexpectedEOF {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	t.Hashes["sha256"] = whole.Sum(nil)
+	text, err := json.Marshal(custom)
+	raw := json.RawMessage(text)
+	t.Custom = &raw
+	return t, err
+}
+
+// store puts a file where targets are served from, under its plain name and its hash's.
+func (r *Repo) store(in io.ReadSeeker, t *metadata.TargetFiles) error {
+	dir, base := path.Split(t.Path)
+	folder := filepath.Join(r.dir, "targets", filepath.FromSlash(dir))
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return err
+	}
+	hashed := filepath.Join(folder, t.Hashes["sha256"].String()+"."+base)
+	for _, name := range []string{hashed, filepath.Join(folder, base)} {
+		if _, err := in.Seek(0, io.SeekStart); err != nil {
+			return err
+		}
+		out, err := renameio.NewPendingFile(name, renameio.WithTempDir(folder), renameio.WithPermissions(0o644))
+		if err != nil {
+			return err
+		}
+		_, err = io.Copy(out, in)
+		if err == nil {
+			err = out.CloseAtomicallyReplace()
+		}
+		out.Cleanup()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Remove stages targets of a role without one path.
+func (r *Repo) Remove(role, as string) error {
+	m, err := r.openTargets(role)
+	if err != nil {
+		return err
+	}
+	if m.Signed.Targets[as] == nil {
+		return fmt.Errorf("%s has no target %s", role, as)
+	}
+	delete(m.Signed.Targets, as)
+	return stage(r, role, m)
+}
+
+// Delegate stages targets of a role that delegate paths to another, and the first targets of that one.
+func (r *Repo) Delegate(role, to string, of []*metadata.Key, threshold int, paths []string, terminating bool) error {
+	if len(of) < threshold || threshold < 1 || len(paths) == 0 || to == "" ||
+		slices.Contains(metadata.TOP_LEVEL_ROLE_NAMES[:], to) || strings.ContainsAny(to, `/\`) {
+		return fmt.Errorf("delegation to %q: keys for its threshold, paths and a name of its own are wanted", to)
+	}
+	m, err := r.openTargets(role)
+	if err != nil {
+		return err
+	}
+	if m.Signed.Delegations == nil {
+		m.Signed.Delegations = &metadata.Delegations{Keys: map[string]*metadata.Key{}}
+	}
+	d := m.Signed.Delegations
+	d.Roles = slices.DeleteFunc(d.Roles, func(is metadata.DelegatedRole) bool { return is.Name == to })
+	one := metadata.DelegatedRole{Name: to, Threshold: threshold, Paths: paths, Terminating: terminating}
+	for _, k := range of {
+		id, err := k.ID()
+		if err != nil {
+			return err
+		}
+		d.Keys[id] = k
+		one.KeyIDs = append(one.KeyIDs, id)
+	}
+	d.Roles = append(d.Roles, one)
+	if err := stage(r, role, m); err != nil {
+		return err
+	}
+	if _, newest, err := r.newest(to); err != nil || newest > 0 {
+		return err
+	}
+	if _, err := os.Stat(r.staged(to)); err == nil {
+		return nil
+	}
+	return stage(r, to, metadata.Targets(r.until(r.Life.Targets)))
+}
+
+// Rotate stages the next root: keys that come into a role, keys (by identifier) that leave it, and its
+// threshold, 0 for the present one. A key that leaves is revoked: what it signed no longer counts.
+func (r *Repo) Rotate(role string, in []*metadata.Key, out []string, threshold int) error {
+	m, err := open(r, metadata.ROOT, func(m *metadata.Metadata[metadata.RootType], v int64) {
+		m.Signed.Version, m.Signed.Expires = v, r.until(r.Life.Root)
+	})
+	if err != nil {
+		return err
+	}
+	if m.Signed.Roles[role] == nil {
+		return fmt.Errorf("role %q, allowed: %s", role, strings.Join(metadata.TOP_LEVEL_ROLE_NAMES[:], ", "))
+	}
+	for _, k := range in {
+		if err := m.Signed.AddKey(k, role); err != nil {
+			return err
+		}
+	}
+	for _, id := range out {
+		full := ""
+		for _, is := range m.Signed.Roles[role].KeyIDs {
+			if strings.HasPrefix(is, id) && id != "" {
+				full = is
+			}
+		}
+		if full == "" {
+			return fmt.Errorf("key %s of %s: %w", id, role, ErrKey)
+		}
+		if err := m.Signed.RevokeKey(full, role); err != nil {
+			return err
+		}
+	}
+	if threshold > 0 {
+		m.Signed.Roles[role].Threshold = threshold
+	}
+	if is := m.Signed.Roles[role]; len(is.KeyIDs) < is.Threshold {
+		return fmt.Errorf("role %s would have %d keys for a threshold of %d", role, len(is.KeyIDs), is.Threshold)
+	}
+	return stage(r, metadata.ROOT, m)
+}
+
+// Renew stages a next version of a role with the same content and a new end.
+func (r *Repo) Renew(role string) error {
+	if role == metadata.ROOT {
+		return r.Rotate(metadata.ROOT, nil, nil, 0)
+	}
+	m, err := r.openTargets(role)
+	if err != nil {
+		return err
+	}
+	m.Signed.Expires = r.until(r.Life.Targets)
+	return stage(r, role, m)
+}
+
+// Sign adds a signature to what is staged of a role. A key that nothing knows for the role is refused.
+func (r *Repo) Sign(role string, k *keys.Key) error {
+	if _, err := os.Stat(r.staged(role)); err != nil {
+		return fmt.Errorf("%s: %w", role, ErrNotStaged)
+	}
+	known, err := r.knows(role, k.ID)
+	if err != nil {
+		return err
+	}
+	if !known {
+		return fmt.Errorf("%s: %v: %w", role, k, ErrKey)
+	}
+	if role == metadata.ROOT {
+		return sign[metadata.RootType](r, role, k)
+	}
+	return sign[metadata.TargetsType](r, role, k)
+}
+
+func sign[T metadata.Roles](r *Repo, role string, k *keys.Key) error {
+	m, _, err := load[T](r, role)
+	if err != nil {
+		return err
+	}
+	if err := signOnce(m, k); err != nil {
+		return err
+	}
+	return stage(r, role, m)
+}
+
+func signOnce[T metadata.Roles](m *metadata.Metadata[T], k *keys.Key) error {
+	m.Signatures = slices.DeleteFunc(m.Signatures, func(s metadata.Signature) bool { return s.KeyID == k.ID })
+	signer, err := k.Signer()
+	if err == nil {
+		_, err = m.Sign(signer)
+	}
+	return err
+}
+
+// knows: the staged or the published root, or a delegation, names the key for the role.
+func (r *Repo) knows(role, id string) (bool, error) {
+	for _, staged := range []bool{true, false} {
+		root, err := r.root(staged)
+		if err != nil {
+			return false, err
+		}
+		if root != nil && root.Signed.Roles[role] != nil && slices.Contains(root.Signed.Roles[role].KeyIDs, id) {
+			return true, nil
+		}
+	}
+	names, err := r.roles()
+	if err != nil {
+		return false, err
+	}
+	for _, name := range names {
+		m, _, err := load[metadata.TargetsType](r, name)
+		if err != nil || m.Signed.Delegations == nil {
+			continue
+		}
+		for _, to := range m.Signed.Delegations.Roles {
+			if to.Name == role && slices.Contains(to.KeyIDs, id) {
+				return true, nil
+			}
+		}
+	}
+	return false, nil
+}
+
+// root reads the staged root, or the published one; none: nil.
+func (r *Repo) root(staged bool) (*metadata.Metadata[metadata.RootType], error) {
+	name := r.staged(metadata.ROOT)
+	if !staged {
+		file, v, err := r.newest(metadata.ROOT)
+		if err != nil || v == 0 {
+			return nil, err
+		}
+		name = r.published(file)
+	}
+	text, err := os.ReadFile(name)
+	if os.IsNotExist(err) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return (&metadata.Metadata[metadata.RootType]{}).FromBytes(text)
+}
+
+// roles are the names of all roles of targets, staged or published.
+func (r *Repo) roles() ([]string, error) {
+	found := map[string]bool{}
+	for _, sub := range []string{"metadata", "staged"} {
+		all, err := os.ReadDir(filepath.Join(r.dir, sub))
+		if err != nil {
+			return nil, err
+		}
+		for _, e := range all {
+			if f, ok := trust.ParseFile(e.Name()); ok && f.Kind() == metadata.TARGETS {
+				found[f.Role] = true
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(found)), nil
+}
+
+// Publish puts what is staged and signed by enough keys in front of clients: first what others hang on, the
+// timestamp last, so that a client never finds a name without its file. Snapshot and timestamp are
+// signed by the online keys. What is staged but not signed enough refuses the whole.
+func (r *Repo) Publish(online []*keys.Key) error {
+	root, fresh, err := r.ready()
+	if err != nil {
+		return err
+	}
+	names, err := r.roles()
+	if err != nil {
+		return err
+	}
+	meta := map[string]*metadata.MetaFiles{}
+	type out struct {
+		role, name string
+		version    int64
+		text       []byte
+	}
+	var outs []out
+	if fresh {
+		text, _ := root.ToBytes(true)
+		outs = append(outs, out{metadata.ROOT, trust.File{Role: metadata.ROOT, Version: root.Signed.Version}.String(),
+			root.Signed.Version, text})
+	}
+	for _, name := range names {
+		m, staged, err := load[metadata.TargetsType](r, name)
+		if err != nil {
+			return err
+		}
+		if err := r.vouched(root, name, m, names); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		text, err := m.ToBytes(true)
+		if !staged && err == nil {
+			var file string
+			if file, _, err = r.newest(name); err == nil {
+				text, err = os.ReadFile(r.published(file))
+			}
+		}
+		if err != nil {
+			return err
+		}
+		sum := sha256.Sum256(text)
+		meta[name+".json"] = &metadata.MetaFiles{Length: int64(len(text)), Version: m.Signed.Version,
+			Hashes: metadata.Hashes{"sha256": sum[:]}}
+		if staged {
+			f := trust.File{Role: name}
+			if root.Signed.ConsistentSnapshot {
+				f.Version = m.Signed.Version
+			}
+			outs = append(outs, out{name, f.String(), m.Signed.Version, text})
+		}
+	}
+	if meta["targets.json"] == nil {
+		return fmt.Errorf("targets: %w", ErrNotStaged)
+	}
+	for _, o := range outs { // a number that was given to another content is not given again
+		if err := r.floor.Raise(o.role, o.version, sha256.Sum256(o.text)); err != nil {
+			return err
+		}
+	}
+	version, err := r.next(metadata.SNAPSHOT)
+	if err != nil {
+		return err
+	}
+	snap := metadata.Snapshot(r.until(r.Life.Snapshot))
+	snap.Signed.Version, snap.Signed.Meta = version, meta
+	text, err := finish(r, root, metadata.SNAPSHOT, version, snap, online)
+	if err != nil {
+		return err
+	}
+	name := trust.File{Role: metadata.SNAPSHOT}
+	if root.Signed.ConsistentSnapshot {
+		name.Version = version
+	}
+	outs = append(outs, out{metadata.SNAPSHOT, name.String(), version, text})
+	if version, err = r.next(metadata.TIMESTAMP); err != nil {
+		return err
+	}
+	stamp := metadata.Timestamp(r.until(r.Life.Timestamp))
+	sum := sha256.Sum256(text)
+	stamp.Signed.Version = version
+	stamp.Signed.Meta["snapshot.json"] = &metadata.MetaFiles{Length: int64(len(text)), Version: snap.Signed.Version,
+		Hashes: metadata.Hashes{"sha256": sum[:]}}
+	if text, err = finish(r, root, metadata.TIMESTAMP, version, stamp, online); err != nil {
+		return err
+	}
+	outs = append(outs, out{metadata.TIMESTAMP, "timestamp.json", version, text})
+	for _, o := range outs {
+		if r.Halted(o.role) {
+			return errors.New("halted before " + o.role)
+		}
+		if err := write(r.published(o.name), o.text); err != nil {
+			return err
+		}
+		if err := os.Remove(r.staged(o.role)); err != nil && !os.IsNotExist(err) {
+			return err
+		}
+	}
+	return nil
+}
+
+// finish signs with the online keys that a role has, reserves the version, and gives the text.
+func finish[T metadata.Roles](r *Repo, root *metadata.Metadata[metadata.RootType], role string, version int64,
+	m *metadata.Metadata[T], online []*keys.Key) ([]byte, error) {
+	for _, k := range online {
+		if slices.Contains(root.Signed.Roles[role].KeyIDs, k.ID) {
+			if err := signOnce(m, k); err != nil {
+				return nil, err
+			}
+		}
+	}
+	if err := root.VerifyDelegate(role, m); err != nil {
+		return nil, fmt.Errorf("%s: the keys given do not reach its threshold: %w", role, ErrUnsigned)
+	}
+	text, err := m.ToBytes(true)
+	if err != nil {
+		return nil, err
+	}
+	return text, r.floor.Raise(role, version, sha256.Sum256(text))
+}
+
+// ready gives the root that is to be in force, and whether it is yet to be published: signed by enough of
+// its own keys and of those of the root before it.
+func (r *Repo) ready() (root *metadata.Metadata[metadata.RootType], fresh bool, err error) {
+	old, err := r.root(false)
+	if err != nil {
+		return nil, false, err
+	}
+	root, err = r.root(true)
+	if err != nil {
+		return nil, false, err
+	}
+	if root == nil {
+		if old == nil {
+			return nil, false, ErrNone
+		}
+		return old, false, nil
+	}
+	if old != nil && old.VerifyDelegate(metadata.ROOT, root) != nil {
+		return nil, false, fmt.Errorf("root: by the keys of root %d: %w", old.Signed.Version, ErrUnsigned)
+	}
+	if root.VerifyDelegate(metadata.ROOT, root) != nil {
+		return nil, false, fmt.Errorf("root: by its own keys: %w", ErrUnsigned)
+	}
+	return root, true, nil
+}
+
+func (r *Repo) vouched(root *metadata.Metadata[metadata.RootType], name string,
+	m *metadata.Metadata[metadata.TargetsType], names []string) error {
+	if name == metadata.TARGETS {
+		if root.VerifyDelegate(name, m) != nil {
+			return ErrUnsigned
+		}
+		return nil
+	}
+	for _, by := range names {
+		from, _, err := load[metadata.TargetsType](r, by)
+		if err == nil && by != name && from.VerifyDelegate(name, m) == nil {
+			return nil
+		}
+	}
+	return ErrUnsigned
+}
+
+// Files gives the published metadata by name, and where targets stand, for a server of them.
+func Files(dir string) (map[string][]byte, string, error) {
+	out := map[string][]byte{}
+	all, err := os.ReadDir(filepath.Join(dir, "metadata"))
+	if err != nil {
+		return nil, "", err
+	}
+	for _, e := range all {
+		if _, ok := trust.ParseFile(e.Name()); !ok {
+			continue
+		}
+		text, err := os.ReadFile(filepath.Join(dir, "metadata", e.Name()))
+		if err != nil {
+			return nil, "", err
+		}
+		out[e.Name()] = text
+	}
+	return out, filepath.Join(dir, "targets"), nil
+}
+
+// Shown is one role as it stands.
+type Shown struct {
+	Role      string
+	Version   int64
+	Expires   time.Time
+	Signed    int
+	Threshold int
+	Staged    bool
+	Targets   []string
+}
+
+// Show tells how each role stands, staged ones last.
+func (r *Repo) Show() (all []Shown, err error) {
+	for _, sub := range []string{"metadata", "staged"} {
+		entries, err := os.ReadDir(filepath.Join(r.dir, sub))
+		if err != nil {
+			return nil, err
+		}
+		for _, e := range entries {
+			f, ok := trust.ParseFile(e.Name())
+			if !ok {
+				continue
+			}
+			text, err := os.ReadFile(filepath.Join(r.dir, sub, e.Name()))
+			if err != nil {
+				return nil, err
+			}
+			var m struct {
+				Signed struct {
+					Version int64
+					Expires time.Time
+					Targets map[string]any
+				}
+				Signatures []metadata.Signature
+			}
+			if err := json.NewDecoder(bytes.NewReader(text)).Decode(&m); err != nil {
+				return nil, fmt.Errorf("%s: %w", e.Name(), err)
+			}
+			all = append(all, Shown{Role: f.Role, Version: m.Signed.Version, Expires: m.Signed.Expires,
+				Signed: len(m.Signatures), Staged: sub == "staged", Targets: slices.Sorted(maps.Keys(m.Signed.Targets)),
+				Threshold: r.threshold(f.Role)})
+		}
+	}
+	return all, nil
+}
+
+func (r *Repo) threshold(role string) int {
+	for _, staged := range []bool{true, false} {
+		if root, err := r.root(staged); err == nil && root != nil && root.Signed.Roles[role] != nil {
+			return root.Signed.Roles[role].Threshold
+		}
+	}
+	names, _ := r.roles()
+	for _, name := range names {
+		if m, _, err := load[metadata.TargetsType](r, name); err == nil && m.Signed.Delegations != nil {
+			for _, to := range m.Signed.Delegations.Roles {
+				if to.Name == role {
+					return to.Threshold
+				}
+			}
+		}
+	}
+	return 0
+}
