--- /dev/null
+++ b/internal/carrier/repo.go
@@ -0,0 +1,796 @@
+package carrier
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
+
+	"silvercove/internal/exchange"
+	"silvercove/internal/gate"
+	"silvercove/internal/link"
+	"silvercove/internal/trust"
+)
+
+// Op types of the mirrors' gate. They must be named in its settings.
+const (
+	opRoot, opTimestamp, opSnapshot, opTargets, opPackage = "root", "timestamp", "snapshot", "targets", "package"
+)
+
+// OpTypes are the names that the settings of a mirrors' gate must have.
+var OpTypes = []string{opRoot, opTimestamp, opSnapshot, opTargets, opPackage}
+
+const mostRootsAtOnce = 64 // of a chain, fetched for one request
+
+// Repo is one repository that is carried.
+type Repo struct {
+	name     string
+	now      func() time.Time
+	log      func(string)
+	timeouts map[string]time.Duration // by op type
+	connect  time.Duration
+	every    time.Duration
+	gate     *gate.Gate
+	agrees   *Repo
+	counts   *Counts
+	once     singleflight.Group
+
+	mu      sync.Mutex // guards what follows
+	trust   *trust.Repository
+	refresh *exchange.Refresh
+	survey  *exchange.Survey
+	kept    []string
+
+	doorMu  sync.Mutex
+	mirrors map[string]*http.Transport
+
+	Sent atomic.Int64
+}
+
+// Mirrors is how the mirrors of a repository are spoken with.
+type Mirrors struct {
+	Seed     uint64
+	Settings map[string]any // of the gate
+	Every    time.Duration  // a timestamp is taken for current for so long
+	Alone    time.Duration  // and for so long while no mirror can be asked
+	Survey   bool           // ask a majority of the mirrors after the start
+	Hosts    []gate.Host
+}
+
+// NewRepo makes a repository from its pinned root.
+func NewRepo(name string, pinned []byte, floor trust.Host, m Mirrors, now func() time.Time, log func(string)) (*Repo, error) {
+	believed, err := trust.New(name, floor, trust.Of(now()), pinned)
+	if err != nil {
+		return nil, fmt.Errorf("repository %s: pinned root: %w", name, err)
+	}
+	r := &Repo{name: name, now: now, log: log, timeouts: map[string]time.Duration{}, trust: believed,
+		every: m.Every, refresh: exchange.NewRefresh(ticks(m.Every), ticks(m.Alone), m.Seed),
+		survey: exchange.NewSurvey(m.Survey), mirrors: map[string]*http.Transport{}, counts: &Counts{}}
+	types, _ := m.Settings["op_types"].([]map[string]any)
+	for _, t := range types {
+		op, _ := t["name"].(string)
+		s, _ := t["command_timeout"].(float64)
+		r.timeouts[op] = time.Duration(s * float64(time.Second))
+	}
+	for _, op := range OpTypes {
+		if r.timeouts[op] <= 0 {
+			return nil, fmt.Errorf("repository %s: no op type %s", name, op)
+		}
+	}
+	s, _ := m.Settings["limits.connect_timeout"].(float64)
+	r.connect = time.Duration(s * float64(time.Second))
+	r.gate = gate.New(m.Seed, m.Settings, gate.Hands{Vote: func(gate.Vote) {}, Watch: func(bool) {}, Fetch: func() {},
+		Probe: func(gate.Unit) {}, CloseIdle: r.closeIdle, Log: func(text string) { log(name + ": " + text) }})
+	r.List(m.Hosts)
+	return r, nil
+}
+
+// List takes the whole list of mirrors.
+func (r *Repo) List(hosts []gate.Host) {
+	r.gate.List(true, hosts)
+	here := map[string]bool{}
+	for _, h := range hosts {
+		here[h.Name] = h.State != "removed"
+	}
+	r.doorMu.Lock()
+	defer r.doorMu.Unlock()
+	for name, t := range r.mirrors {
+		if !here[name] {
+			t.CloseIdleConnections()
+			delete(r.mirrors, name)
+		}
+	}
+}
+
+// Gate is the mirrors' gate, for a watch of their list.
+func (r *Repo) Gate() *gate.Gate { return r.gate }
+
+func (r *Repo) closeIdle(name string) {
+	r.doorMu.Lock()
+	defer r.doorMu.Unlock()
+	if t := r.mirrors[name]; t != nil {
+		t.CloseIdleConnections()
+	}
+}
+
+// transport is the connections to one mirror.
+func (r *Repo) transport(u gate.Unit) *http.Transport {
+	r.doorMu.Lock()
+	defer r.doorMu.Unlock()
+	t := r.mirrors[u.Name]
+	if t == nil {
+		t = &http.Transport{DialContext: (&net.Dialer{Timeout: r.connect}).DialContext, MaxIdleConnsPerHost: 8,
+			MaxIdleConns: 8, IdleConnTimeout: 10 * time.Second, DisableCompression: true,
+			MaxResponseHeaderBytes: 16 << 10}
+		r.mirrors[u.Name] = t
+	}
+	return t
+}
+
+func ticks(d time.Duration) trust.Tick { return trust.Tick(d / (100 * time.Microsecond)) }
+
+func (r *Repo) tick() trust.Tick { return trust.Of(r.now()) }
+
+func (r *Repo) comeBack() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return spanOf(r.refresh.ComeBack(r.tick()))
+}
+
+// run owns the gate's alarms, the time that passes, the survey, and the mirrors' connections.
+func (r *Repo) run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return r.gate.Tick(ctx) })
+	group.Go(func() error {
+		beat := time.NewTicker(time.Second)
+		defer beat.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-beat.C:
+				r.mu.Lock()
+				r.trust.Beat(r.tick())
+				r.mu.Unlock()
+			}
+		}
+	})
+	group.Go(func() error { return r.surveyAll(ctx) })
+	group.Go(func() error { return r.keepWarm(ctx) })
+	err := group.Wait()
+	r.doorMu.Lock()
+	defer r.doorMu.Unlock()
+	for _, t := range r.mirrors {
+		t.CloseIdleConnections()
+	}
+	return err
+}
+
+// Keep has targets looked up again and again, so that Known can tell of them without asking anyone.
+func (r *Repo) Keep(paths []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.kept = paths
+}
+
+func (r *Repo) keepWarm(ctx context.Context) error {
+	beat := time.NewTicker(max(r.every/2, 50*time.Millisecond))
+	defer beat.Stop()
+	for {
+		r.mu.Lock()
+		kept := r.kept
+		r.mu.Unlock()
+		for _, path := range kept {
+			r.Find(path)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-beat.C:
+		}
+	}
+}
+
+// Known looks a target up in what is held and has not expired.
+func (r *Repo) Known(path string) (*trust.Target, *trust.Refusal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t, need, refusal := r.trust.Find(r.tick(), path)
+	if need != "" {
+		refusal = &trust.Refusal{Why: trust.Missing, Repository: r.name, Role: need, Text: "not held"}
+	}
+	return t, refusal
+}
+
+// surveyAll asks every mirror for its timestamp until enough have shown one.
+func (r *Repo) surveyAll(ctx context.Context) error {
+	wait := time.NewTimer(0)
+	defer wait.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-wait.C:
+		}
+		r.mu.Lock()
+		done := r.survey.Done
+		r.mu.Unlock()
+		if done {
+			return nil
+		}
+		ready := r.gate.Ready()
+		var names []string
+		for _, u := range ready {
+			names = append(names, u.Name)
+		}
+		var group errgroup.Group
+		group.SetLimit(4)
+		for _, u := range ready {
+			group.Go(func() error {
+				limited, cancel := context.WithTimeout(ctx, r.timeouts[opTimestamp])
+				defer cancel()
+				s := r.get(limited, u, "metadata/timestamp.json", 0, trust.MostTimestamp)
+				if s.status != 200 || s.end.Over() {
+					return nil
+				}
+				refusal := r.timestamp(limited, u, s.data)
+				r.mu.Lock()
+				r.survey.Shown(u.Name, refusal, names)
+				r.mu.Unlock()
+				return nil
+			})
+		}
+		group.Wait()
+		r.mu.Lock()
+		done = r.survey.Done
+		next := r.refresh.ComeBack(r.tick())
+		r.mu.Unlock()
+		if done {
+			r.log(fmt.Sprintf("%s: a majority of %d mirrors has shown its timestamp", r.name, len(ready)))
+			return nil
+		}
+		wait.Reset(spanOf(next))
+	}
+}
+
+// held gives a file if it may be passed on without asking anyone.
+func (r *Repo) held(f trust.File) ([]byte, *trust.Refusal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.current(f)
+}
+
+// current is held with the lock taken. A timestamp, and the word on which root is the newest, count only as
+// long as mirrors were asked lately.
+func (r *Repo) current(f trust.File) ([]byte, *trust.Refusal) {
+	now := r.tick()
+	data, refusal := r.trust.Current(now, f)
+	if f.Role != "root" && !r.survey.Done {
+		return nil, &trust.Refusal{Why: trust.Missing, Repository: r.name, Role: f.Role, Text: "mirrors are being surveyed"}
+	}
+	fresh := f.Role == "timestamp" || f.Role == "root" && (f.Version == 0 || refusal != nil)
+	if fresh && r.refresh.Stale(now) {
+		return nil, &trust.Refusal{Why: trust.Missing, Repository: r.name, Role: f.Role, Text: "mirrors were not asked lately"}
+	}
+	return data, refusal
+}
+
+// have gives a file if it may be passed on, after asking the mirrors for what is lacking.
+func (r *Repo) have(f trust.File) ([]byte, *trust.Refusal) {
+	r.bringUp(f.Role == "timestamp" || f.Role == "root")
+	data, refusal := r.held(f)
+	if refusal != nil && refusal.Why == trust.Missing && f.Kind() == "targets" && f.Role != "targets" {
+		if refusal := r.role(f.Role); refusal != nil {
+			return nil, refusal
+		}
+		data, refusal = r.held(f)
+	}
+	return data, refusal
+}
+
+// bringUp asks the mirrors for a whole current set, if it is due; all who need it wait for one.
+func (r *Repo) bringUp(fresh bool) {
+	r.mu.Lock()
+	now := r.tick()
+	_, _, lacking := r.trust.Wanted(now)
+	due := (lacking || fresh) && r.refresh.Due(now, lacking)
+	r.mu.Unlock()
+	if !due {
+		return
+	}
+	r.once.Do("set", func() (any, error) {
+		r.mu.Lock()
+		now := r.tick()
+		_, _, lacking := r.trust.Wanted(now)
+		due := r.refresh.Due(now, lacking)
+		r.mu.Unlock()
+		if !due { // another has just done it
+			return nil, nil
+		}
+		err := r.set()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if err != nil {
+			r.refresh.Failed(r.tick())
+			r.log(fmt.Sprintf("%s: nothing current: %v", r.name, err))
+		} else {
+			r.refresh.Had(r.tick())
+		}
+		return nil, nil
+	})
+}
+
+// set asks for the next root, a timestamp, and what it names.
+func (r *Repo) set() error {
+	for range mostRootsAtOnce {
+		r.mu.Lock()
+		f := trust.File{Role: "root", Version: r.trust.Next()}
+		r.mu.Unlock()
+		none := false
+		err := r.ask(opRoot, f, trust.MostRoot, func(_ context.Context, _ gate.Unit, status int, data []byte) *trust.Refusal {
+			if none = status == http.StatusNotFound; none {
+				return nil
+			}
+			return r.take(func(now trust.Tick) *trust.Refusal { return r.trust.Root(now, data) })
+		})
+		if err != nil {
+			return err
+		}
+		if none {
+			break
+		}
+	}
+	stamped := false
+	for range 8 { // new keys may make it begin again
+		r.mu.Lock()
+		f, most, ok := r.trust.Wanted(r.tick())
+		r.mu.Unlock()
+		if !stamped {
+			f, most, ok = trust.File{Role: "timestamp"}, trust.MostTimestamp, true
+		}
+		var take func(now trust.Tick, data []byte) *trust.Refusal
+		switch {
+		case !ok:
+			return nil
+		case f.Role == "timestamp":
+			take, stamped = r.trust.Timestamp, true
+		case f.Role == "snapshot":
+			take = r.trust.Snapshot
+		case f.Role == "targets":
+			take = func(now trust.Tick, data []byte) *trust.Refusal { return r.trust.Targets(now, f.Role, data) }
+		default:
+			return fmt.Errorf("%s is needed, and no mirror has it", f)
+		}
+		err := r.ask(f.Role, f, most, func(ctx context.Context, u gate.Unit, _ int, data []byte) *trust.Refusal {
+			return r.believe(ctx, u, func(now trust.Tick) *trust.Refusal { return take(now, data) })
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return errors.New("the keys change all the time")
+}
+
+// timestamp takes a timestamp of a mirror.
+func (r *Repo) timestamp(ctx context.Context, u gate.Unit, data []byte) *trust.Refusal {
+	return r.believe(ctx, u, func(now trust.Tick) *trust.Refusal { return r.trust.Timestamp(now, data) })
+}
+
+// believe hands what a mirror gave to trust. What is signed by unknown keys may hang on a newer root, which
+// the same mirror is asked for. A root that came so may make what is held void: the mirror is not to blame then.
+func (r *Repo) believe(ctx context.Context, u gate.Unit, take func(now trust.Tick) *trust.Refusal) *trust.Refusal {
+	refusal := r.take(take)
+	chased := false
+	for n := 0; n < mostRootsAtOnce && refusal != nil && (refusal.Why == trust.Foreign ||
+		refusal.Why == trust.UnderThreshold || refusal.Why == trust.Missing && !chased); n++ {
+		r.mu.Lock()
+		f := trust.File{Role: "root", Version: r.trust.Next()}
+		r.mu.Unlock()
+		s := r.get(ctx, u, "metadata/"+f.String(), 0, trust.MostRoot)
+		if s.status != 200 || s.end.Over() ||
+			r.take(func(now trust.Tick) *trust.Refusal { return r.trust.Root(now, s.data) }) != nil {
+			break
+		}
+		chased = true
+		refusal = r.take(take)
+	}
+	if chased && refusal != nil && refusal.Why == trust.Missing {
+		return nil
+	}
+	return refusal
+}
+
+// take hands something to trust; what is held already is as good as new.
+func (r *Repo) take(what func(now trust.Tick) *trust.Refusal) *trust.Refusal {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	refusal := what(r.tick())
+	if refusal != nil && refusal.Why == trust.Same {
+		return nil
+	}
+	return refusal
+}
+
+// role asks for the targets of a delegated role, and for those of roles that may delegate to it.
+func (r *Repo) role(role string) *trust.Refusal {
+	v, _, _ := r.once.Do("role "+role, func() (any, error) {
+		refusal := r.one(role)
+		if refusal == nil || refusal.Why != trust.Missing {
+			return refusal, nil
+		}
+		r.mu.Lock()
+		others := r.trust.Unheld()
+		r.mu.Unlock()
+		for _, other := range others {
+			if other != role {
+				r.one(other)
+			}
+		}
+		return r.one(role), nil
+	})
+	refusal, _ := v.(*trust.Refusal)
+	return refusal
+}
+
+func (r *Repo) one(role string) *trust.Refusal {
+	r.mu.Lock()
+	f, most, refusal := r.trust.Role(r.tick(), role)
+	r.mu.Unlock()
+	if refusal != nil {
+		return refusal
+	}
+	err := r.ask(opTargets, f, most, func(_ context.Context, _ gate.Unit, _ int, data []byte) *trust.Refusal {
+		refusal = r.take(func(now trust.Tick) *trust.Refusal { return r.trust.Targets(now, role, data) })
+		if refusal != nil && refusal.Why == trust.Missing {
+			return nil // the mirror is not to blame
+		}
+		return refusal
+	})
+	if err != nil && refusal == nil {
+		refusal = &trust.Refusal{Why: trust.Missing, Repository: r.name, Role: role, Text: err.Error()}
+	}
+	return refusal
+}
+
+// Find looks up a target, asking for what is lacking.
+func (r *Repo) Find(path string) (*trust.Target, *trust.Refusal) {
+	r.bringUp(true)
+	for {
+		r.mu.Lock()
+		now := r.tick()
+		t, need, refusal := r.trust.Find(now, path)
+		if !r.survey.Done || r.refresh.Stale(now) {
+			t, need, refusal = nil, "", &trust.Refusal{Why: trust.Missing, Repository: r.name, Role: "targets",
+				Text: "mirrors were not asked lately"}
+		}
+		r.mu.Unlock()
+		if refusal != nil || t != nil {
+			return t, refusal
+		}
+		if refusal := r.role(need); refusal != nil {
+			return nil, refusal
+		}
+	}
+}
+
+// Stored looks up a target by the name that clients of consistent snapshots ask for.
+func (r *Repo) Stored(name string) (*trust.Target, *trust.Refusal) {
+	r.mu.Lock()
+	path, sum, hashed := r.trust.Plain(name)
+	r.mu.Unlock()
+	t, refusal := r.Find(path)
+	if refusal == nil && hashed && t.Sum != sum {
+		return nil, &trust.Refusal{Why: trust.Older, Repository: r.name, Role: path, Text: "other bytes count now"}
+	}
+	return t, refusal
+}
+
+func (r *Repo) assigned() ([]*trust.Target, *trust.Refusal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.trust.Assigned(r.tick())
+}
+
+func (r *Repo) compare(told, is *trust.Target, kind string) *trust.Refusal {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.trust.Compare(told, is, kind)
+}
+
+func (r *Repo) open(t *trust.Target) *trust.Body {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.trust.Open(t)
+}
+
+// errNone: the module gave a command up.
+var errNone = errors.New("no mirror can be asked now")
+
+// ask makes one command of a file: the gate chooses mirrors until one's answer is believed, or gives up.
+func (r *Repo) ask(op string, f trust.File, most int,
+	take func(ctx context.Context, u gate.Unit, status int, data []byte) *trust.Refusal) error {
+	var last error = errNone
+	cmd, _ := r.gate.Take(gate.Ask{OpType: op, Came: time.Now(), Wait: r.timeouts[op]})
+	for {
+		step := r.gate.Pick(cmd)
+		if step.Delivery == nil {
+			return last
+		}
+		d := step.Delivery
+		if r.late(d) {
+			continue
+		}
+		s := r.get(d.Context, d.Unit, "metadata/"+f.String(), 0, most)
+		believed, status := false, s.status
+		if !s.end.Over() && (s.status == 200 || s.status == 404 && op == opRoot) {
+			refusal := take(d.Context, d.Unit, s.status, s.data)
+			if believed = refusal == nil; !believed {
+				last = fmt.Errorf("%s: %w", d.Unit.Name, refusal)
+				r.log(fmt.Sprintf("%s: mirror %s: %v", r.name, d.Unit.Name, refusal))
+			}
+		} else if s.end.Over() {
+			last, status = fmt.Errorf("%s: %s: %s", d.Unit.Name, f, s.end.How), 0
+		} else {
+			last = fmt.Errorf("%s: %s: status %d", d.Unit.Name, f, s.status)
+		}
+		if r.gate.ReportMirror(d, status, believed, s.end) {
+			return nil
+		}
+	}
+}
+
+// late reports a delivery that waited too long in this process as never sent.
+func (r *Repo) late(d *gate.Delivery) bool {
+	if !exchange.TooLate(trust.Tick(time.Since(d.Chosen())/(100*time.Microsecond)), 0) {
+		return false
+	}
+	r.gate.ReportMirror(d, 0, false, link.End{How: link.CalledOff})
+	return true
+}
+
+// got is how one exchange with a mirror went.
+type got struct {
+	status int
+	data   []byte
+	end    link.End
+}
+
+// get asks a mirror for a whole file.
+func (r *Repo) get(ctx context.Context, u gate.Unit, path string, from int64, most int) (s got) {
+	s.status, s.end = r.exchange(ctx, u, path, from, func(status int, length int64, body io.Reader) link.End {
+		if status != 200 {
+			return link.End{}
+		}
+		if length > int64(most) {
+			return link.End{How: link.Overlong, Sent: true}
+		}
+		data, err := io.ReadAll(io.LimitReader(body, int64(most)+1))
+		switch {
+		case err != nil:
+			return ended(ctx, err, true)
+		case len(data) > most:
+			return link.End{How: link.Overlong, Sent: true}
+		}
+		s.data = data
+		return link.End{}
+	})
+	return s
+}
+
+// exchange makes one request at a mirror and has its body read, as long as that comes fast enough.
+func (r *Repo) exchange(ctx context.Context, u gate.Unit, path string, from int64,
+	read func(status int, length int64, body io.Reader) link.End) (status int, end link.End) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var sent atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteRequest: func(info httptrace.WroteRequestInfo) { sent.Store(info.Err == nil) }})
+	req, err := http.NewRequestWithContext(traced, http.MethodGet,
+		(&url.URL{Scheme: "http", Host: u.Dial, Path: "/" + path}).String(), nil)
+	if err != nil {
+		return 0, link.End{How: link.Malformed}
+	}
+	if from > 0 {
+		req.Header.Set("Range", fmt.Sprintf("bytes=%d-", from))
+	}
+	if !r.gate.Serves(u) { // it drains since it was chosen
+		return 0, link.End{How: link.CalledOff}
+	}
+	r.Sent.Add(1)
+	p := &paced{cancel: cancel, tick: func() trust.Tick { return trust.Of(time.Now()) }}
+	p.pace.Begin(p.tick())
+	p.timer = time.AfterFunc(spanOf(p.pace.Until()-p.tick()), p.stop)
+	defer p.timer.Stop()
+	resp, err := r.transport(u).RoundTrip(req)
+	if err != nil && p.slow.Load() {
+		return 0, link.End{How: link.Late, Sent: sent.Load()}
+	} else if err != nil {
+		return 0, ended(ctx, err, sent.Load())
+	}
+	defer resp.Body.Close()
+	p.Reader = resp.Body
+	end = read(resp.StatusCode, resp.ContentLength, p)
+	if p.slow.Load() {
+		return resp.StatusCode, link.End{How: link.Late, Sent: true}
+	}
+	return resp.StatusCode, end
+}
+
+// paced reads a body and calls the exchange off once that comes too slowly.
+type paced struct {
+	io.Reader
+	pace   exchange.Transfer
+	timer  *time.Timer
+	cancel func()
+	tick   func() trust.Tick
+	slow   atomic.Bool
+}
+
+func (p *paced) Read(b []byte) (int, error) {
+	n, err := p.Reader.Read(b)
+	now := p.tick()
+	if p.pace.Came(now, int64(n)) && err == nil {
+		p.stop()
+	}
+	p.timer.Reset(spanOf(p.pace.Until() - now))
+	return n, err
+}
+
+// held leaves out what the client, not the mirror, has held things up.
+func (p *paced) held(since trust.Tick) {
+	now := p.tick()
+	p.pace.Held(now - since)
+	p.timer.Reset(spanOf(p.pace.Until() - now))
+}
+
+func (p *paced) stop() {
+	p.slow.Store(true)
+	p.cancel()
+}
+
+// ended maps an error of the HTTP library to the way in which the connection ended.
+func ended(ctx context.Context, err error, sent bool) link.End {
+	var op *net.OpError
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return link.End{How: link.Late, Sent: sent}
+	case ctx.Err() != nil:
+		return link.End{How: link.CalledOff, Sent: sent}
+	case errors.As(err, &op) && op.Op == "dial" && errors.As(err, &timeout) && timeout.Timeout():
+		return link.End{How: link.NotUp}
+	case errors.As(err, &op) && op.Op == "dial":
+		return link.End{How: link.Refused}
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return link.End{How: link.Closed, Sent: sent}
+	case strings.Contains(err.Error(), "malformed"), strings.Contains(err.Error(), "headers exceeded"):
+		return link.End{How: link.Malformed, Sent: sent}
+	}
+	return link.End{How: link.Broke, Sent: sent}
+}
+
+// bring passes a package on from mirrors: one that breaks off, is too slow or wrong is followed by another,
+// from the byte on that is wanted next.
+func (r *Repo) bring(ctx context.Context, t *trust.Target, body *trust.Body, out *client) error {
+	r.mu.Lock()
+	stored := r.trust.Stored(t)
+	r.mu.Unlock()
+	cmd, _ := r.gate.Take(gate.Ask{OpType: opPackage, Came: time.Now(), Wait: r.timeouts[opPackage]})
+	stop := context.AfterFunc(ctx, func() { r.gate.Leave(cmd) })
+	defer stop()
+	var last error = errNone
+	for {
+		step := r.gate.Pick(cmd)
+		if step.Delivery == nil {
+			return last
+		}
+		d := step.Delivery
+		if r.late(d) {
+			continue
+		}
+		r.gate.Streaming(d)
+		body.Resume()
+		from := body.Next()
+		status, end := r.exchange(d.Context, d.Unit, "targets/"+stored, from, func(status int, _ int64, in io.Reader) link.End {
+			if status == http.StatusOK && from > 0 { // it gives the whole: leave out what was had
+				if _, err := io.CopyN(io.Discard, in, from); err != nil {
+					return ended(d.Context, err, true)
+				}
+			} else if status != http.StatusOK && status != http.StatusPartialContent {
+				return link.End{}
+			}
+			end, err := r.copy(d.Context, in.(*paced), body, out)
+			if err != nil {
+				last = err
+			}
+			return end
+		})
+		done := body.Done() || out.done()
+		if out.gone {
+			end = link.End{How: link.CalledOff, Sent: true}
+			done = false
+		}
+		if !done && !end.Over() {
+			end = link.End{How: link.Malformed, Sent: true}
+			if status == http.StatusOK || status == http.StatusPartialContent {
+				status = 0
+				last = fmt.Errorf("%s: it gave half a file", d.Unit.Name)
+			}
+		} else if end.Over() {
+			status = 0
+		}
+		if !done && !out.gone {
+			r.log(fmt.Sprintf("%s: mirror %s: %s: from byte %d: %v %s, status %d", r.name, d.Unit.Name, t.Path, from, last,
+				end.How, status))
+		}
+		if r.gate.ReportMirror(d, status, done, end) || done {
+			return nil
+		}
+		if out.gone || body.Spoilt() {
+			r.gate.Leave(cmd)
+			return fmt.Errorf("%w, or what was passed on is spoilt", errGone)
+		}
+	}
+}
+
+// copy verifies what comes and passes it on.
+func (r *Repo) copy(ctx context.Context, in *paced, body *trust.Body, out *client) (link.End, error) {
+	buf := make([]byte, 32<<10)
+	for body.Want() > 0 && !out.done() {
+		n, err := in.Read(buf)
+		if n > 0 {
+			if refused := body.Add(buf[:n], func(p []byte) error {
+				since := in.tick()
+				err := out.pass(p)
+				in.held(since)
+				return err
+			}); refused != nil {
+				return link.End{How: link.Malformed, Sent: true}, refused
+			}
+		}
+		if err == io.EOF {
+			return link.End{}, nil
+		}
+		if err != nil {
+			return ended(ctx, err, true), err
+		}
+	}
+	return link.End{}, nil
+}
+
+// RepoStatus is how one repository stands.
+type RepoStatus struct {
+	Name                               string
+	Root, Timestamp, Snapshot, Targets int64
+	Expires                            time.Time
+	Surveyed                           bool
+	Refused                            map[string]int64
+	Mirrors                            int
+	Deliveries                         int64
+}
+
+func (r *Repo) status() RepoStatus {
+	ready := len(r.gate.Ready())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := RepoStatus{Name: r.name, Root: r.trust.Version("root"), Timestamp: r.trust.Version("timestamp"),
+		Snapshot: r.trust.Version("snapshot"), Targets: r.trust.Version("targets"), Expires: r.trust.Expires().Time(),
+		Surveyed: r.survey.Done, Refused: map[string]int64{}, Mirrors: ready, Deliveries: r.Sent.Load()}
+	for why, n := range r.trust.Refused {
+		if n > 0 {
+			s.Refused[trust.Why(why).String()] = n
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/director/director.go
@@ -0,0 +1,697 @@
+// Package director issues signed metadata for each server of a fleet, as Uptane's Director: which package the
+// server is to run. What each is told is decided by package waves, how far a package goes by the platform
+// and the votes; here it is signed, numbered and kept from going back.
+//
+// A server's root chain is the Director's; its timestamp, snapshot and targets are its own, all of one version
+// number. The number, the build and the end of each issue are durable before anyone can see it: after a
+// restart the next number follows, and what a server may still hold is known.
+//
+// Kind: state
+package director
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/theupdateframework/go-tuf/v2/metadata"
+	"golang.org/x/sync/errgroup"
+
+	"silvercove/internal/floor"
+	"silvercove/internal/gate"
+	"silvercove/internal/keys"
+	"silvercove/internal/trust"
+	"silvercove/internal/waves"
+)
+
+// Errors of a Director.
+var (
+	ErrNoServer = errors.New("no such server")
+	ErrNoFile   = errors.New("no such file")
+	ErrNotNow   = errors.New("not to be had now")
+)
+
+// Image looks up what the Image repository vouches for.
+type Image func(path string) (*trust.Target, *trust.Refusal)
+
+// Floor is where what must outlive a restart is kept.
+type Floor interface {
+	trust.Host
+	Entries() []floor.Entry
+}
+
+// Director issues for one fleet.
+type Director struct {
+	floor    Floor
+	image    Image
+	now      func() time.Time
+	last     time.Duration // that issued metadata last
+	packages map[uint16]string
+	log      func(string)
+
+	rootMu sync.RWMutex
+	root   *metadata.Metadata[metadata.RootType]
+	chain  map[string][]byte
+	online map[string][]*keys.Key
+
+	seenMu sync.Mutex
+	seen   map[string]*trust.Target // what the Image repository said last, by path
+
+	mu       sync.Mutex // guards what follows and the module
+	waves    *waves.Waves
+	servers  map[string]*server
+	stage    gate.Stage
+	kinds    []string    // that its package fits
+	waits    uint16      // the build that was logged to wait
+	later    *gate.Stage // news of a package that the Image repository does not know yet
+	released uint16
+	wakeAt   waves.Tick
+	rung     chan struct{}
+	dirty    []*server
+
+	Issued, Told, Reports int64
+	Changed               time.Time // when the last change was told to all it concerns
+}
+
+type server struct {
+	waves.Server
+
+	mu      sync.Mutex // one issue at a time
+	version int64
+	issued  // the last one
+	at      trust.Tick
+	target  *trust.Target // that the last issue names
+	files   map[string][]byte
+	stale   bool // guarded by Director.mu: it was told something else since its last issue
+}
+
+// New makes a Director with its root chain by file name and its online keys. A metadata file lasts as long
+// as last, whole seconds; packages are paths by build; running is what all servers are on if nothing is known.
+func New(chain map[string][]byte, online []*keys.Key, f Floor, image Image, now func() time.Time, last time.Duration,
+	packages map[uint16]string, running uint16, log func(string)) (*Director, error) {
+	d := &Director{floor: f, image: image, now: now, last: last.Truncate(time.Second), packages: packages, log: log,
+		seen: map[string]*trust.Target{}, servers: map[string]*server{}, rung: make(chan struct{}, 1), released: running}
+	if v, _ := f.Seen("director/released"); v > 0 {
+		d.released = max(uint16(v), running)
+	}
+	if d.last < 2*time.Second {
+		return nil, fmt.Errorf("director: metadata that last %v", last)
+	}
+	if err := d.Keys(chain, online); err != nil {
+		return nil, err
+	}
+	d.waves = waves.New(d, waves.Tick(trust.Tick(d.last/time.Second)*trust.Second), d.released)
+	for _, e := range f.Entries() { // what may be out there
+		name, ok := strings.CutPrefix(e.Key, "issued/")
+		if !ok {
+			continue
+		}
+		s := &server{version: e.Version, issued: unpack(e.Sum), stale: true}
+		s.Name = name
+		d.servers[name] = s
+		holds := trust.Tick(0)
+		if s.before > s.build {
+			holds = s.until
+		}
+		d.waves.Restore(d.tick(), &s.Server, s.build, waves.Tick(holds))
+	}
+	return d, nil
+}
+
+// Keys takes a root chain and online keys, at the start or in service. Each role must have as many keys as
+// its threshold. What was issued before is issued anew.
+func (d *Director) Keys(chain map[string][]byte, online []*keys.Key) error {
+	var newest *metadata.Metadata[metadata.RootType]
+	for name, text := range chain {
+		f, ok := trust.ParseFile(name)
+		if !ok || f.Role != metadata.ROOT {
+			continue
+		}
+		root, err := (&metadata.Metadata[metadata.RootType]{}).FromBytes(text)
+		if err != nil {
+			return fmt.Errorf("director: %s: %w", name, err)
+		}
+		if newest == nil || root.Signed.Version > newest.Signed.Version {
+			newest = root
+		}
+	}
+	if newest == nil {
+		return errors.New("director: no root")
+	}
+	by := map[string][]*keys.Key{}
+	for _, role := range []string{metadata.TARGETS, metadata.SNAPSHOT, metadata.TIMESTAMP} {
+		is := newest.Signed.Roles[role]
+		if is == nil {
+			return fmt.Errorf("director: root %d has no role %s", newest.Signed.Version, role)
+		}
+		for _, k := range online {
+			if slices.Contains(is.KeyIDs, k.ID) {
+				by[role] = append(by[role], k)
+			}
+		}
+		if len(by[role]) < is.Threshold {
+			return fmt.Errorf("director: %d online keys for %s, its threshold is %d", len(by[role]), role, is.Threshold)
+		}
+	}
+	d.rootMu.Lock()
+	changed := d.root != nil && d.root.Signed.Version != newest.Signed.Version
+	d.root, d.chain, d.online = newest, chain, by
+	d.rootMu.Unlock()
+	if changed {
+		d.mu.Lock()
+		for _, s := range d.servers {
+			d.mark(s)
+		}
+		d.mu.Unlock()
+	}
+	return nil
+}
+
+// issued is what must outlive a restart of one issue: the build that it names and when it ends, and the build
+// that the issue before named, if the server may still act on that, and until when.
+type issued struct {
+	build, before uint16
+	end, until    trust.Tick
+}
+
+// pack puts it into the front of the issue's sum; the rest of the sum tells contents apart.
+func (i issued) pack(content []byte) (sum trust.Sum) {
+	sum = sha256.Sum256(content)
+	binary.BigEndian.PutUint16(sum[:], i.build)
+	binary.BigEndian.PutUint64(sum[2:], uint64(i.end))
+	binary.BigEndian.PutUint16(sum[10:], i.before)
+	binary.BigEndian.PutUint64(sum[12:], uint64(i.until))
+	return sum
+}
+
+func unpack(sum trust.Sum) issued {
+	return issued{binary.BigEndian.Uint16(sum[:]), binary.BigEndian.Uint16(sum[10:]),
+		trust.Tick(binary.BigEndian.Uint64(sum[2:])), trust.Tick(binary.BigEndian.Uint64(sum[12:]))}
+}
+
+func (d *Director) tick() waves.Tick { return waves.Tick(trust.Of(d.now())) }
+
+// Tell is the module's word that a server is to be told a build.
+func (d *Director) Tell(s *waves.Server, build uint16) {
+	d.Told++
+	if own := d.servers[s.Name]; own != nil {
+		d.mark(own)
+	}
+}
+
+// mark has a server's metadata issued anew.
+func (d *Director) mark(s *server) {
+	if s.stale {
+		return
+	}
+	s.stale = true
+	d.dirty = append(d.dirty, s)
+	d.ring()
+}
+
+func (d *Director) ring() {
+	select {
+	case d.rung <- struct{}{}:
+	default:
+	}
+}
+
+// WakeAt sets the module's alarm.
+func (d *Director) WakeAt(at waves.Tick) {
+	if d.wakeAt == 0 || at < d.wakeAt {
+		d.wakeAt = at
+		d.ring()
+	}
+}
+
+// Log writes a line of the module.
+func (d *Director) Log(text string) { d.log(text) }
+
+// Hosts takes the list of servers, or changes of it.
+func (d *Director) Hosts(whole bool, hosts []gate.Host) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now, named := d.tick(), map[string]bool{}
+	for _, h := range hosts {
+		named[h.Name] = true
+		s := d.servers[h.Name]
+		fresh := s == nil
+		if fresh {
+			s = &server{}
+			s.Name = h.Name
+			d.servers[h.Name] = s
+		}
+		s.Zone, s.Kind = h.Zone, h.Kind
+		here := h.State != "removed"
+		if fresh && here {
+			d.waves.Add(now, &s.Server)
+		} else if !fresh {
+			d.waves.Listed(now, &s.Server, here)
+		}
+	}
+	for name, s := range d.servers {
+		if whole && !named[name] {
+			d.waves.Listed(now, &s.Server, false)
+		}
+	}
+	d.waves.Settled(now)
+}
+
+var phases = map[string]waves.Phase{"testing": waves.OnTrial, "recalling": waves.GoingBack,
+	"live": waves.Released, "recalled": waves.Withdrawn}
+
+// Stage takes what the platform says of the newest build. News of a build that went before is left aside.
+func (d *Director) Stage(is gate.Stage) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if is.Build < d.stage.Build || !is.Fits() {
+		return
+	}
+	if is.Build <= d.released && is.State != "live" {
+		return // it was released before a restart, and is no longer news
+	}
+	fits, known := d.fits(is)
+	if d.stage.State == "live" && d.stage.Build != is.Build {
+		d.keep(d.stage.Build)
+	}
+	d.stage, d.kinds, d.later = is, fits, nil
+	now := d.tick()
+	if !known { // told ones may go back, nobody new is told
+		d.later = &is
+		d.WakeAt(now + waves.Tick(trust.Second)/5)
+	}
+	if is.Build == d.released { // nothing newer is out
+		d.waves.Stage(now, is.Build, is.Build, waves.Released, 1, fits)
+		return
+	}
+	d.waves.Stage(now, is.Build, d.released, phases[is.State], is.Cap, fits)
+}
+
+// fits tells which kinds of hardware a build's package fits. Until the Image repository says so it is none.
+func (d *Director) fits(is gate.Stage) (kinds []string, known bool) {
+	if is.Build == d.stage.Build && d.later == nil {
+		return d.kinds, true
+	}
+	t, refusal := d.lookUp(d.packages[is.Build])
+	if refusal == nil {
+		return t.Custom.Kinds, true
+	}
+	if d.waits != is.Build {
+		d.waits = is.Build
+		d.log(fmt.Sprintf("director: build %d waits: %v", is.Build, refusal))
+	}
+	return []string{""}, false
+}
+
+// keep makes durable that a build was released.
+func (d *Director) keep(build uint16) {
+	if build <= d.released {
+		return
+	}
+	if err := d.floor.Raise("director/released", int64(build), trust.Sum{}); err != nil {
+		d.log(fmt.Sprintf("director: that build %d was released is not kept: %v", build, err))
+	}
+	d.released = build
+}
+
+// Voted takes a vote of this installation's own: nobody new is told while one to hold or go back stands.
+func (d *Director) Voted(v gate.Vote) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if v.Build == d.stage.Build && (v.Verdict == "HOLD" || v.Verdict == "ROLLBACK") {
+		d.waves.Stop(d.tick())
+	}
+}
+
+// Reported takes a report that was found good.
+func (d *Director) Reported(r *trust.Report) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.servers[r.Server]
+	if s == nil {
+		return ErrNoServer
+	}
+	d.Reports++
+	if r.Attack != "" {
+		d.log(fmt.Sprintf("%s refused metadata: %s", r.Server, r.Attack))
+	}
+	tried, ended := uint16(0), map[string]waves.Ended{"ok": waves.Installed, "failed": waves.Failed,
+		"declined": waves.Declined}[r.Installed]
+	for build, path := range d.packages {
+		if path == r.Tried && path != "" {
+			tried = build
+		}
+	}
+	d.waves.Reported(d.tick(), &s.Server, r.Build, tried, ended)
+	return nil
+}
+
+// Kind tells what kind of hardware a server is listed as.
+func (d *Director) Kind(name string) (string, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.servers[name]
+	if s == nil {
+		return "", false
+	}
+	return s.Kind, true
+}
+
+// File gives a metadata file of a server as it is to be passed on now.
+func (d *Director) File(name string, f trust.File) ([]byte, error) {
+	if f.Role == metadata.ROOT {
+		d.rootMu.RLock()
+		defer d.rootMu.RUnlock()
+		if text := d.chain[f.String()]; text != nil {
+			return text, nil
+		}
+		return nil, ErrNoFile
+	}
+	d.mu.Lock()
+	s := d.servers[name]
+	if s == nil {
+		d.mu.Unlock()
+		return nil, ErrNoServer
+	}
+	stale := s.stale
+	d.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := trust.Of(d.now())
+	if stale || s.files == nil || now >= s.at+(s.end-s.at)/2 || !d.agreed(s) {
+		if err := d.issue(s, now); err != nil && (stale || s.files == nil || now >= s.end) {
+			return nil, err // nothing older is given in its place
+		}
+	}
+	text := s.files[f.String()]
+	if text == nil {
+		return nil, ErrNoFile
+	}
+	if f.Role == metadata.TARGETS {
+		d.mu.Lock()
+		s.until = 0
+		d.waves.Fetched(waves.Tick(now), &s.Server, s.build)
+		d.mu.Unlock()
+	}
+	return text, nil
+}
+
+// agreed: the Image repository still says of the issued target what it said, or can't say anything now.
+func (d *Director) agreed(s *server) bool {
+	if s.target == nil {
+		return true
+	}
+	is, refusal := d.image(s.target.Path)
+	return refusal != nil || is.Sum == s.target.Sum && is.Length == s.target.Length
+}
+
+// issue signs the next version of a server's metadata, and makes it durable before anyone sees it.
+func (d *Director) issue(s *server, now trust.Tick) error {
+	d.mu.Lock()
+	build, kind := s.Told(), s.Kind
+	s.stale = false
+	d.mu.Unlock()
+	again := func(err error) error { // what is owed stays owed
+		d.mu.Lock()
+		s.stale = true
+		d.mu.Unlock()
+		return err
+	}
+	if now > d.floor.Passed()+trust.Second {
+		if err := d.floor.Pass(now); err != nil {
+			return again(fmt.Errorf("%w: the time is not kept: %v", ErrNotNow, err))
+		}
+	}
+	now = max(now, d.floor.Passed()) // a clock that was set back does not shorten what servers hold
+	end := now + trust.Tick(d.last/time.Second)*trust.Second
+	target, err := d.target(s.Name, kind, build)
+	if err != nil {
+		return again(err)
+	}
+	d.rootMu.RLock()
+	online := d.online
+	d.rootMu.RUnlock()
+	version := s.version + 1
+	files, err := sign(online, version, end.Time(), target)
+	if err != nil {
+		return again(err)
+	}
+	next := issued{build: build, end: end}
+	switch {
+	case s.version > 0 && s.build != build:
+		next.before, next.until = s.build, s.end
+	case now < s.until:
+		next.before, next.until = s.before, s.until
+	}
+	if err := d.floor.Raise("issued/"+s.Name, version, next.pack(files["timestamp.json"])); err != nil {
+		return again(fmt.Errorf("%w: %v", ErrNotNow, err))
+	}
+	s.version, s.issued, s.at, s.files, s.target = version, next, now, files, target
+	d.mu.Lock()
+	d.Issued++
+	d.mu.Unlock()
+	return nil
+}
+
+// target is what a server is told: the Image repository's word on the package of its build, for this server.
+func (d *Director) target(name, kind string, build uint16) (*trust.Target, error) {
+	if build == 0 {
+		return nil, nil
+	}
+	path := d.packages[build]
+	if path == "" {
+		return nil, fmt.Errorf("%w: no package is named for build %d", ErrNotNow, build)
+	}
+	is, refusal := d.lookUp(path)
+	if refusal != nil {
+		return nil, fmt.Errorf("%w: %v", ErrNotNow, refusal)
+	}
+	t := *is
+	t.Custom.ECUs = map[string]string{name: kind}
+	t.Custom.Kinds, t.Custom.Build = nil, build
+	return &t, nil
+}
+
+// lookUp asks the Image repository for a target. While that can't be had, what it said last stands in, so
+// that servers can be told back; they ask the Image repository themselves before they install anything.
+func (d *Director) lookUp(path string) (*trust.Target, *trust.Refusal) {
+	t, refusal := d.image(path)
+	d.seenMu.Lock()
+	defer d.seenMu.Unlock()
+	if refusal == nil {
+		d.seen[path] = t
+	} else if was := d.seen[path]; was != nil && (refusal.Why == trust.Missing || refusal.Why == trust.Expired) {
+		return was, nil
+	}
+	return t, refusal
+}
+
+// sign makes the three files of one version.
+func sign(online map[string][]*keys.Key, version int64, end time.Time, t *trust.Target) (map[string][]byte, error) {
+	targets := metadata.Targets(end)
+	targets.Signed.Version = version
+	if t != nil {
+		file := metadata.TargetFile()
+		file.Length, file.Path = t.Length, t.Path
+		file.Hashes["sha256"] = t.Sum[:]
+		custom, err := json.Marshal(t.Custom)
+		if err != nil {
+			return nil, err
+		}
+		raw := json.RawMessage(custom)
+		file.Custom = &raw
+		targets.Signed.Targets[t.Path] = file
+	}
+	out := map[string][]byte{}
+	text, err := signed(targets, online[metadata.TARGETS])
+	if err != nil {
+		return nil, err
+	}
+	out[trust.File{Role: metadata.TARGETS, Version: version}.String()] = text
+	snap := metadata.Snapshot(end)
+	snap.Signed.Version = version
+	snap.Signed.Meta["targets.json"] = metaFile(version, text)
+	if text, err = signed(snap, online[metadata.SNAPSHOT]); err != nil {
+		return nil, err
+	}
+	out[trust.File{Role: metadata.SNAPSHOT, Version: version}.String()] = text
+	stamp := metadata.Timestamp(end)
+	stamp.Signed.Version = version
+	stamp.Signed.Meta["snapshot.json"] = metaFile(version, text)
+	if text, err = signed(stamp, online[metadata.TIMESTAMP]); err != nil {
+		return nil, err
+	}
+	out["timestamp.json"] = text
+	return out, nil
+}
+
+func metaFile(version int64, text []byte) *metadata.MetaFiles {
+	sum := sha256.Sum256(text)
+	return &metadata.MetaFiles{Version: version, Length: int64(len(text)), Hashes: metadata.Hashes{"sha256": sum[:]}}
+}
+
+func signed[T metadata.Roles](m *metadata.Metadata[T], by []*keys.Key) ([]byte, error) {
+	for _, k := range by {
+		signer, err := k.Signer()
+		if err != nil {
+			return nil, err
+		}
+		if _, err := m.Sign(signer); err != nil {
+			return nil, err
+		}
+	}
+	return m.ToBytes(false)
+}
+
+// Run issues what is owed and rings the module's alarms until the context ends.
+func (d *Director) Run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.rung:
+		case <-timer.C:
+		}
+		timer.Reset(d.work())
+	}
+}
+
+// retry is how long what could not be issued waits.
+const retry = 200 * time.Millisecond
+
+// work rings the alarm that is due, issues what is owed, and tells how long it is until the next.
+func (d *Director) work() time.Duration {
+	d.mu.Lock()
+	if now := d.tick(); d.wakeAt != 0 && now >= d.wakeAt {
+		d.wakeAt = 0
+		d.waves.Alarm(now)
+	}
+	if later := d.later; later != nil {
+		d.mu.Unlock()
+		d.Stage(*later)
+		d.mu.Lock()
+	}
+	owed := d.dirty
+	d.dirty = nil
+	d.mu.Unlock()
+	var group errgroup.Group
+	group.SetLimit(runtime.GOMAXPROCS(0))
+	for _, s := range owed {
+		group.Go(func() error {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			d.mu.Lock()
+			stale := s.stale
+			d.mu.Unlock()
+			if !stale || s.files == nil { // one that never asked is told when it does
+				return nil
+			}
+			if err := d.issue(s, trust.Of(d.now())); err != nil {
+				return err
+			}
+			return nil
+		})
+	}
+	err := group.Wait()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(owed) > 0 {
+		d.Changed = d.now()
+	}
+	next := time.Hour
+	if err != nil {
+		d.log(fmt.Sprintf("director: metadata not issued, tried again: %v", err))
+		for _, s := range owed {
+			if s.stale && s.files != nil {
+				d.dirty = append(d.dirty, s)
+			}
+		}
+		next = retry
+	}
+	if d.wakeAt != 0 {
+		next = min(next, max(0, time.Duration(d.wakeAt-d.tick())*100*time.Microsecond))
+	}
+	return next
+}
+
+// Count tells how many servers there are, how many are told the newest package, and how many may act on it.
+func (d *Director) Count() (fleet, told, counted int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.waves.Count(d.tick())
+}
+
+// IssuedCount tells how many versions were issued.
+func (d *Director) IssuedCount() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Issued
+}
+
+// Explain says in plain sentences why a server may run what it is told.
+func (d *Director) Explain(name string) ([]string, error) {
+	d.mu.Lock()
+	s := d.servers[name]
+	if s == nil {
+		d.mu.Unlock()
+		return nil, fmt.Errorf("%s: %w; known: %s", name, ErrNoServer, some(d.servers))
+	}
+	now := d.tick()
+	at := d.waves.Explain(now, &s.Server)
+	stage, released, zone, kind := d.stage, d.released, s.Zone, s.Kind
+	d.mu.Unlock()
+	s.mu.Lock()
+	version, build, end := s.version, s.build, s.end
+	s.mu.Unlock()
+	out := []string{
+		fmt.Sprintf("%s is in zone %s, of kind %s; it reported that it runs build %d.", name, zone, kind, at.Running),
+		fmt.Sprintf("Build %d is released. The newest is build %d, %s, with a cap of %g.", released, stage.Build, stage.State,
+			stage.Cap),
+		fmt.Sprintf("It is told build %d; it is number %d of %d in the order of build %d.", at.Told, at.Place+1, at.Of,
+			stage.Build),
+		fmt.Sprintf("The cap lets %d servers be told; %d are, or may still act on having been.", at.Most, at.Count),
+	}
+	if version > 0 {
+		out = append(out, fmt.Sprintf("Its metadata have version %d, name build %d and last until %s.", version, build,
+			end.Time().Format(time.RFC3339)))
+	}
+	if at.Tries > 0 {
+		out = append(out, fmt.Sprintf("It failed to install the package %d times; it is put off until %s.", at.Tries,
+			trust.Tick(at.NotBefore).Time().Format(time.RFC3339)))
+	}
+	if at.LeftOut {
+		out = append(out, "It is left out of this package for good.")
+	}
+	if trust.Tick(at.Holds) > trust.Tick(now) {
+		out = append(out, fmt.Sprintf("It was told back, and counts until it has fetched that or %s.",
+			trust.Tick(at.Holds).Time().Format(time.RFC3339)))
+	}
+	if path := d.packages[at.Told]; path != "" {
+		if t, refusal := d.image(path); refusal == nil {
+			out = append(out, fmt.Sprintf("The Image repository vouches for %s: %d bytes, SHA-256 %x, by its role %s.", path,
+				t.Length, t.Sum, t.Role))
+		} else {
+			out = append(out, fmt.Sprintf("The Image repository does not vouch for %s now: %v.", path, refusal))
+		}
+	}
+	return out, nil
+}
+
+func some(all map[string]*server) string {
+	names := slices.Sorted(maps.Keys(all))
+	if len(names) > 10 {
+		names = append(names[:10], "...")
+	}
+	return strings.Join(names, ", ")
+}
--- a/internal/gate/ending.go
+++ b/internal/gate/ending.go
@@ -53,3 +53,19 @@
 	}
 	return choice.TimedOut
 }
+
+// MirrorOutcome maps how a delivery at a mirror of a repository ended: the status of its answer, 0 with none,
+// and whether what it said was believed. What is not believed is as good as what cannot be read.
+func MirrorOutcome(status int, believed bool, end link.End) choice.Ending {
+	switch {
+	case believed:
+		return choice.Acked
+	case status == 429, status == 503:
+		return choice.Full
+	case status >= 500:
+		return choice.Errored
+	case status != 0:
+		return choice.Reset
+	}
+	return withoutAnswer(end)
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -20,6 +20,10 @@
 	Probe     func(unit Unit)
 	CloseIdle func(unit string)
 	Log       func(text string)
+
+	// Of fronts that hand on what the gate hears; nil where there is none.
+	Hosts func(whole bool, hosts []Host)
+	Stage func(Stage)
 }
 
 // Gate stands before one module.
@@ -162,6 +166,9 @@
 	sent    time.Time
 }
 
+// Chosen is when the module chose the delivery.
+func (d *Delivery) Chosen() time.Time { return d.sent }
+
 // Take makes a command of what a client asked; false: the settings name no such op type.
 func (g *Gate) Take(a Ask) (*Command, bool) {
 	op, ok := g.ops[a.OpType]
@@ -202,8 +209,23 @@
 
 // Report tells how a delivery ended: with a SQLSTATE, or without an answer.
 func (g *Gate) Report(d *Delivery, state string, end link.End, load []float64) (acked bool) {
+	return g.ended(d, Outcome(state, end), load)
+}
+
+// ReportMirror tells how a delivery at a mirror ended: with an HTTP status, or without an answer.
+func (g *Gate) ReportMirror(d *Delivery, status int, believed bool, end link.End) (acked bool) {
+	return g.ended(d, MirrorOutcome(status, believed, end), nil)
+}
+
+// Streaming tells that the answer to a delivery is being passed on while it comes.
+func (g *Gate) Streaming(d *Delivery) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.module.Streaming(g.now(), d.module)
+}
+
+func (g *Gate) ended(d *Delivery, ending choice.Ending, load []float64) (acked bool) {
 	d.cancel()
-	ending := Outcome(state, end)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c := g.open[d.module.Cmd]
@@ -244,6 +266,14 @@
 	return all
 }
 
+// Serves tells whether a unit still is where it was chosen, and may get deliveries.
+func (g *Gate) Serves(u Unit) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	is := g.units[u.Name]
+	return is != nil && is.State == choice.Ready && is.place() == u
+}
+
 // Figures are the names of the values of a load report, in the settings' order.
 func (g *Gate) Figures() []string { return g.loads }
 
--- a/internal/gate/news.go
+++ b/internal/gate/news.go
@@ -28,6 +28,9 @@
 
 // List takes the whole list, or changes of it.
 func (g *Gate) List(whole bool, hosts []Host) {
+	if g.hands.Hosts != nil {
+		g.hands.Hosts(whole, hosts)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
@@ -98,6 +101,9 @@
 
 // Told takes news of the newest build.
 func (g *Gate) Told(s Stage) {
+	if g.hands.Stage != nil {
+		g.hands.Stage(s)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.Counts.Stages++
@@ -118,6 +124,9 @@
 func (g *Gate) Voted(status int, s Stage, end link.End) {
 	news := s.news()
 	news.Answer, news.Ending = true, VoteOutcome(status, end)
+	if g.hands.Stage != nil && news.Ending == choice.Acked {
+		g.hands.Stage(s)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.Counts.VoteEndings[news.Ending]++
--- /dev/null
+++ b/internal/service/helpers_test.go
@@ -0,0 +1,245 @@
+package service
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"silvercove/internal/keys"
+	"silvercove/internal/repo"
+	"silvercove/internal/standin/repository"
+)
+
+// world is a keeper, mirrors, a front and servers on loopback.
+type world struct {
+	*testing.T
+	dir     string
+	clock   *repository.Clock
+	keeper  *repository.Keeper
+	other   *repository.Keeper
+	dirRepo *repository.Keeper
+	mirrors []*repository.Mirror
+	states  []string
+	servers []string // lines
+	keys    map[string]*keys.Key
+	extra   string // directives of the block
+	lasts   string
+	wave    string
+	survey  string
+	agree   bool
+
+	front   *Metadata
+	stop    func()
+	checker *repository.Checker
+	dirs    *repository.Checker
+	log     *lines
+}
+
+// lines is a log that tests read.
+type lines struct {
+	mu  sync.Mutex
+	all bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.all.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.all.String()
+}
+
+func (w *world) must(err error) {
+	w.Helper()
+	if err != nil {
+		w.Fatal(err)
+	}
+}
+
+// newWorld makes keepers and mirrors; nothing is served yet.
+func newWorld(t *testing.T, mirrors int, life repo.Life) *world {
+	t.Helper()
+	w := &world{T: t, dir: t.TempDir(), clock: repository.NewClock(true), keys: map[string]*keys.Key{}, lasts: "60s",
+		wave: "wave 1 live 100%", survey: "always"}
+	var err error
+	w.keeper, err = repository.NewKeeper(filepath.Join(w.dir, "image"), w.clock, life, true)
+	w.must(err)
+	w.other, err = repository.NewKeeper(filepath.Join(w.dir, "other"), w.clock, life, true)
+	w.must(err)
+	w.dirRepo, err = repository.NewKeeper(filepath.Join(w.dir, "director"), w.clock, repo.Life{}, true)
+	w.must(err)
+	for _, role := range []string{"targets", "snapshot", "timestamp"} {
+		for i, k := range w.dirRepo.Keys[role] {
+			w.must(k.Save(filepath.Join(w.dir, fmt.Sprintf("%s%d.key", role, i)), nil))
+		}
+	}
+	w.must(os.WriteFile(filepath.Join(w.dir, "root.json"), w.keeper.Root(1), 0o600))
+	for i := range mirrors {
+		m, err := repository.NewMirror(fmt.Sprintf("m%d", i), w.keeper, w.other)
+		w.must(err)
+		t.Cleanup(m.Close)
+		w.mirrors, w.states = append(w.mirrors, m), append(w.states, "up")
+	}
+	w.checker, w.dirs = repository.NewChecker(w.keeper), repository.NewChecker(w.dirRepo)
+	w.log = &lines{}
+	return w
+}
+
+// server adds a server to the fleet.
+func (w *world) server(name, zone, kind string) {
+	k := w.keys["any"]
+	if k == nil { // one key for all: making thousands takes long
+		var err error
+		k, err = keys.Generate("ed25519")
+		w.must(err)
+		w.must(k.Save(filepath.Join(w.dir, "server.key"), nil))
+		w.keys["any"] = k
+	}
+	w.servers = append(w.servers, fmt.Sprintf("    server %s %s %s server.pub", name, zone, kind))
+}
+
+// file writes the operator's file.
+func (w *world) file() {
+	var b strings.Builder
+	fmt.Fprintf(&b, "metadata {\n  listen 127.0.0.1:0\n  floor %s\n  refresh 100ms\n  unconfirmed 100ms\n  survey %s\n%s\n",
+		filepath.Join(w.dir, "floor"), w.survey, w.extra)
+	fmt.Fprintf(&b, "  repository image {\n    root root.json\n")
+	for i, m := range w.mirrors {
+		fmt.Fprintf(&b, "    mirror %s %s z%d %s\n", m.Name, m.Address(), i%2, w.states[i])
+	}
+	b.WriteString("  }\n")
+	if len(w.servers) > 0 {
+		fmt.Fprintf(&b, "  director {\n    image image\n    chain director\n    lasts %s\n", w.lasts)
+		for _, role := range []string{"targets", "snapshot", "timestamp"} {
+			for i := range w.dirRepo.Keys[role] {
+				fmt.Fprintf(&b, "    key %s%d.key\n", role, i)
+			}
+		}
+		b.WriteString("    running 1\n    package 1 app/1.tar\n    package 2 app/2.tar\n    package 3 app/3.tar\n    " + w.wave + "\n" +
+			strings.Join(w.servers, "\n") + "\n  }\n")
+	}
+	b.WriteString("}\n")
+	w.must(os.WriteFile(filepath.Join(w.dir, "cove.conf"), []byte(b.String()), 0o600))
+}
+
+// start runs the front.
+func (w *world) start() {
+	w.Helper()
+	w.file()
+	var err error
+	w.front, err = New(filepath.Join(w.dir, "cove.conf"), func(string) string { return "" }, w.clock.Now, zerolog.New(w.log))
+	w.must(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	front := w.front
+	go func() { ended <- front.Run(ctx) }()
+	var once sync.Once
+	w.stop = func() {
+		once.Do(func() {
+			cancel()
+			if err := <-ended; err != nil {
+				w.Error(err)
+			}
+		})
+	}
+	w.Cleanup(w.stop)
+}
+
+// reload writes the file anew and has it taken.
+func (w *world) reload() {
+	w.Helper()
+	w.file()
+	w.must(w.front.Reload())
+}
+
+func (w *world) url() string { return "http://" + w.front.Address() }
+
+// get asks the front as one client.
+func (w *world) get(client, path string) (int, []byte, http.Header) {
+	w.Helper()
+	way := w.checker.Transport(client, "/r/image", http.DefaultTransport)
+	return fetch(w.T, way, w.url()+path, "")
+}
+
+func fetch(t *testing.T, way http.RoundTripper, url, ranged string) (int, []byte, http.Header) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if ranged != "" {
+		req.Header.Set("Range", ranged)
+	}
+	resp, err := way.RoundTrip(req)
+	if err != nil {
+		return 0, nil, nil
+	}
+	defer resp.Body.Close()
+	var b bytes.Buffer
+	if _, err := b.ReadFrom(resp.Body); err != nil {
+		return 0, b.Bytes(), resp.Header
+	}
+	return resp.StatusCode, b.Bytes(), resp.Header
+}
+
+// until waits for something to hold, as long as seconds may take.
+func (w *world) until(what string, holds func() bool) {
+	w.Helper()
+	for end := time.Now().Add(10 * time.Second); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			w.Fatalf("not within 10 s: %s\n%s", what, tail(w.log.String()))
+		}
+	}
+}
+
+func tail(s string) string { return s[max(0, len(s)-3000):] }
+
+// current tells whether a client can update now, by the public library's workflow.
+func (w *world) current(client string) error {
+	way := w.checker.Transport(client, "/r/image", http.DefaultTransport)
+	_, err := repository.Updater(w.url()+"/r/image", w.keeper.Root(1), w.clock.Now(), way)
+	return err
+}
+
+// picture makes the stand-in of a server.
+func (w *world) picture(name, kind string) *repository.Server {
+	return &repository.Server{Name: name, Kind: kind, Front: w.url(), Image: "image", ImageRoot: w.keeper.Root(1),
+		DirRoot: w.dirRepo.Root(1), Key: w.keys["any"], Now: w.clock.Now,
+		ImageHTTP: w.checker.Transport(name, "/r/image", http.DefaultTransport),
+		DirHTTP:   w.dirs.Transport(name, "/director/"+name, http.DefaultTransport)}
+}
+
+// clean fails where the checkers found anything.
+func (w *world) clean() {
+	w.Helper()
+	for _, c := range []*repository.Checker{w.checker, w.dirs} {
+		for _, f := range c.Found() {
+			w.Error(f)
+		}
+	}
+}
+
+func (w *world) read(name string) []byte {
+	w.Helper()
+	b, err := os.ReadFile(filepath.Join(w.dir, name))
+	w.must(err)
+	return b
+}
+
+func (w *world) write(name string, b []byte) {
+	w.Helper()
+	w.must(os.WriteFile(filepath.Join(w.dir, name), b, 0o600))
+}
--- /dev/null
+++ b/internal/service/service.go
@@ -0,0 +1,444 @@
+// Package service puts the metadata front together from an operator's file: floor, repositories, Director
+// and listener, and takes the file again while it runs.
+package service
+
+import (
+	"context"
+	"crypto"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"os"
+	"path/filepath"
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"silvercove/internal/carrier"
+	"silvercove/internal/conf"
+	"silvercove/internal/director"
+	"silvercove/internal/exchange"
+	"silvercove/internal/floor"
+	"silvercove/internal/gate"
+	"silvercove/internal/keys"
+	"silvercove/internal/link"
+	"silvercove/internal/list"
+	"silvercove/internal/platform"
+	"silvercove/internal/repo"
+	"silvercove/internal/trust"
+)
+
+// Metadata is the metadata front of one operator's file.
+type Metadata struct {
+	path     string
+	log      zerolog.Logger
+	env      func(string) string
+	now      func() time.Time
+	all      map[string]any // the block
+	floor    floors
+	close    func() error
+	repos    map[string]*carrier.Repo
+	director *director.Director
+	Carrier  *carrier.Carrier
+	room     *link.Room
+	watches  []func(ctx context.Context) error
+	mu       sync.Mutex
+	listener net.Listener
+}
+
+// floors is what both kinds of floor do.
+type floors interface {
+	trust.Host
+	Entries() []floor.Entry
+}
+
+// New reads an operator's file and puts the front together. It listens from then on.
+func New(path string, env func(string) string, now func() time.Time, log zerolog.Logger) (*Metadata, error) {
+	all, err := conf.Operators.Read(path)
+	if err != nil {
+		return nil, err
+	}
+	block, ok := all["metadata"].(map[string]any)
+	if !ok {
+		return nil, fmt.Errorf("%s: no metadata block: nothing is switched on", path)
+	}
+	m := &Metadata{path: path, log: log, env: env, now: now, all: block, repos: map[string]*carrier.Repo{},
+		close: func() error { return nil }, room: link.NewRoom(64 << 20)}
+	if err := m.build(); err != nil {
+		m.close()
+		return nil, err
+	}
+	if m.listener, err = net.Listen("tcp", block["listen"].(string)); err != nil {
+		m.close()
+		return nil, err
+	}
+	return m, nil
+}
+
+// Address is where it listens.
+func (m *Metadata) Address() string { return m.listener.Addr().String() }
+
+// Director is the Director, nil without one.
+func (m *Metadata) Director() *director.Director { return m.director }
+
+func (m *Metadata) say(text string) { m.log.Info().Msg(text) }
+
+// file gives a path as it stands from the operator's file.
+func (m *Metadata) file(path any) string {
+	p, _ := path.(string)
+	if filepath.IsAbs(p) {
+		return p
+	}
+	return filepath.Join(filepath.Dir(m.path), p)
+}
+
+func span(v any) time.Duration {
+	f, _ := v.(float64)
+	return time.Duration(f * float64(time.Second))
+}
+
+func (m *Metadata) build() error {
+	if err := m.openFloor(); err != nil {
+		return err
+	}
+	var repos []*carrier.Repo
+	for _, v := range m.all["repository"].([]any) {
+		r, err := m.repository(v.(map[string]any))
+		if err != nil {
+			return err
+		}
+		repos = append(repos, r)
+	}
+	m.Carrier = carrier.New(repos, m.now, m.say, int(m.all["connections"].(float64)), int(m.all["waiting"].(float64)))
+	for _, v := range m.all["repository"].([]any) {
+		if image, ok := v.(map[string]any)["agree"].(string); ok {
+			if err := m.Carrier.Agree(v.(map[string]any)["name"].(string), image); err != nil {
+				return err
+			}
+		}
+	}
+	if d, ok := m.all["director"].(map[string]any); ok {
+		return m.direct(d)
+	}
+	return nil
+}
+
+// openFloor opens the files that are named, or keeps what may only grow in memory.
+func (m *Metadata) openFloor() error {
+	paths, _ := m.all["floor"].([]any)
+	most := int(m.all["floor_entries"].(float64))
+	if len(paths) == 0 {
+		m.log.Warn().Msg("no floor is named: after a restart older metadata are known only by what mirrors show")
+		m.floor = floor.InMemory(most, m.say)
+		return nil
+	}
+	var all []string
+	for _, p := range paths {
+		all = append(all, m.file(p))
+	}
+	f, err := floor.Open(all, most, m.say)
+	if err != nil {
+		return err
+	}
+	if f.Fresh {
+		m.log.Warn().Strs("paths", all).Msg("a new floor was begun: nothing is known from before")
+	}
+	m.floor, m.close = f, f.Close
+	return nil
+}
+
+// seed tells relays and repositories apart by their names alone.
+func seed(parts ...string) uint64 {
+	h := fnv.New64a()
+	for _, p := range parts {
+		h.Write([]byte(p + "/"))
+	}
+	return h.Sum64()
+}
+
+func (m *Metadata) repository(r map[string]any) (*carrier.Repo, error) {
+	name := r["name"].(string)
+	pinned, err := os.ReadFile(m.file(r["root"]))
+	if err != nil {
+		return nil, fmt.Errorf("repository %s: %w", name, err)
+	}
+	var types []map[string]any
+	for _, op := range carrier.OpTypes {
+		v := m.all[op].([]any)
+		types = append(types, map[string]any{"name": op, "service_target": v[0], "command_timeout": v[1], "importance": v[2]})
+	}
+	hosts := mirrors(r, nil, m.now())
+	host, _ := os.Hostname()
+	rules := exchange.Rules(m.all["relays"].(float64), m.all["connect_timeout"].(float64),
+		m.all["max_come_back"].(float64), types)
+	out, err := carrier.NewRepo(name, pinned, m.floor, carrier.Mirrors{Seed: seed(host, m.all["listen"].(string), name),
+		Settings: rules, Every: span(m.all["refresh"]), Alone: span(m.all["unconfirmed"]),
+		Survey: m.all["survey"] == "always", Hosts: hosts}, m.now, m.say)
+	if err != nil {
+		return nil, err
+	}
+	if address, ok := r["discovery"].(string); ok {
+		watch := list.New(link.NewPlace(address), 0, time.Second, time.Second/2, m.room, m.say)
+		watch.Fetch()
+		m.watches = append(m.watches, func(ctx context.Context) error { return watch.Run(ctx, out.Gate(), true) })
+	}
+	m.repos[name] = out
+	return out, nil
+}
+
+// mirrors are the mirror lines of a repository. One that was not there before is new, and cold.
+func mirrors(r, before map[string]any, now time.Time) (hosts []gate.Host) {
+	was := map[string]bool{}
+	if before != nil {
+		old, _ := before["mirror"].([]any)
+		for _, v := range old {
+			was[v.([]any)[0].(string)+" "+v.([]any)[1].(string)] = true
+		}
+	}
+	lines, _ := r["mirror"].([]any)
+	for _, v := range lines {
+		l := v.([]any)
+		h := gate.Host{Name: l[0].(string), Dial: l[1].(string), Zone: l[2].(string), State: l[3].(string), Nominal: 1,
+			Build: 1}
+		if before != nil && !was[h.Name+" "+h.Dial] {
+			h.BornMs = now.UnixMilli()
+		}
+		hosts = append(hosts, h)
+	}
+	return hosts
+}
+
+func (m *Metadata) direct(d map[string]any) error {
+	chain, online, err := m.directorKeys(d)
+	if err != nil {
+		return err
+	}
+	image := m.repos[d["image"].(string)]
+	packages, paths := map[uint16]string{}, []string{}
+	for _, v := range d["package"].([]any) {
+		l := v.([]any)
+		packages[uint16(l[0].(float64))] = l[1].(string)
+		paths = append(paths, l[1].(string))
+	}
+	image.Keep(paths)
+	running, _ := d["running"].(float64)
+	m.director, err = director.New(chain, online, m.floor, image.Known, m.now, span(d["lasts"]), packages,
+		uint16(running), m.say)
+	if err != nil {
+		return err
+	}
+	servers, err := m.servers(d)
+	if err != nil {
+		return err
+	}
+	if err := m.Carrier.Direct(m.director, d["image"].(string), m.floor, servers); err != nil {
+		return err
+	}
+	if d["discovery"] == nil {
+		m.director.Hosts(true, listed(d))
+	}
+	if w, ok := d["wave"].([]any); ok {
+		m.director.Stage(wave(w))
+	}
+	return m.outside(d)
+}
+
+// outside joins the Director to the platform and the list of servers, by a gate of its own. Its module
+// votes as a relay does; no commands go through it, so it votes by what others count.
+func (m *Metadata) outside(d map[string]any) error {
+	discovery, _ := d["discovery"].(string)
+	address, _ := d["platform"].(string)
+	if discovery == "" && address == "" {
+		return nil
+	}
+	var desk *platform.Desk
+	if address != "" {
+		desk = platform.New(link.NewPlace(address), time.Second, m.room, m.say)
+	}
+	op := map[string]any{"name": "install", "service_target": 1.0, "command_timeout": 10.0, "importance": 1.0}
+	settings := exchange.Rules(1, 0.3, 10, []map[string]any{op})
+	settings["rollout.control"] = "clocked"
+	g := gate.New(seed(discovery, address), settings, gate.Hands{Watch: func(bool) {}, Fetch: func() {},
+		Probe: func(gate.Unit) {}, CloseIdle: func(string) {}, Log: m.say, Hosts: m.director.Hosts,
+		Vote: m.director.Voted, Stage: m.director.Stage})
+	m.watches = append(m.watches, g.Tick)
+	if desk != nil {
+		m.watches = append(m.watches, func(ctx context.Context) error { return desk.Run(ctx, g) })
+	}
+	if discovery != "" {
+		watch := list.New(link.NewPlace(discovery), 0, time.Second, time.Second/2, m.room, m.say)
+		watch.Fetch()
+		m.watches = append(m.watches, func(ctx context.Context) error { return watch.Run(ctx, g, true) })
+	}
+	return nil
+}
+
+func wave(w []any) gate.Stage {
+	return gate.Stage{Build: uint16(w[0].(float64)), State: w[1].(string), Cap: w[2].(float64)}
+}
+
+// listed are the servers of the file, as a list of those that are there.
+func listed(d map[string]any) (hosts []gate.Host) {
+	lines, _ := d["server"].([]any)
+	for _, v := range lines {
+		l := v.([]any)
+		hosts = append(hosts, gate.Host{Name: l[0].(string), Dial: "-", Zone: l[1].(string), Kind: l[2].(string), State: "up"})
+	}
+	return hosts
+}
+
+func (m *Metadata) servers(d map[string]any) (map[string]crypto.PublicKey, error) {
+	out := map[string]crypto.PublicKey{}
+	lines, _ := d["server"].([]any)
+	for _, v := range lines {
+		l := v.([]any)
+		k, _, err := keys.Public(m.file(l[3]))
+		if err != nil {
+			return nil, fmt.Errorf("server %s: %w", l[0], err)
+		}
+		if out[l[0].(string)], err = k.ToPublicKey(); err != nil {
+			return nil, fmt.Errorf("server %s: %w", l[0], err)
+		}
+	}
+	return out, nil
+}
+
+func (m *Metadata) directorKeys(d map[string]any) (map[string][]byte, []*keys.Key, error) {
+	chain, _, err := repo.Files(m.file(d["chain"]))
+	if err != nil {
+		return nil, nil, fmt.Errorf("director: chain: %w", err)
+	}
+	var online []*keys.Key
+	for _, path := range d["key"].([]any) {
+		k, err := keys.Load(m.file(path), keys.PhraseFrom(m.env))
+		if err != nil {
+			return nil, nil, fmt.Errorf("director: %w", err)
+		}
+		online = append(online, k)
+	}
+	return chain, online, nil
+}
+
+// Run serves until the context ends.
+func (m *Metadata) Run(ctx context.Context) error {
+	group, inner := errgroup.WithContext(ctx)
+	for _, w := range m.watches {
+		group.Go(func() error { return w(inner) })
+	}
+	group.Go(func() error {
+		err := m.Carrier.Run(inner, m.listener, span(m.all["package"].([]any)[1]))
+		if err == nil && ctx.Err() == nil {
+			return errors.New("the front has ended by itself")
+		}
+		return err
+	})
+	err := group.Wait()
+	return errors.Join(err, m.close())
+}
+
+// Reload takes the file again. It is refused whole, and nothing changes, if anything in it is wrong or can't
+// change in service: mirrors, the servers, the Director's keys and the wave can.
+func (m *Metadata) Reload() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all, err := conf.Operators.Read(m.path)
+	if err != nil {
+		return err
+	}
+	next, _ := all["metadata"].(map[string]any)
+	if fault := fixed(m.all, next); fault != "" {
+		return fmt.Errorf("%s: metadata.%s can't change in service: restart", m.path, fault)
+	}
+	d, _ := next["director"].(map[string]any)
+	var chain map[string][]byte
+	var online []*keys.Key
+	var servers map[string]crypto.PublicKey
+	if d != nil {
+		if chain, online, err = m.directorKeys(d); err != nil {
+			return err
+		}
+		if servers, err = m.servers(d); err != nil {
+			return err
+		}
+		if err := m.director.Keys(chain, online); err != nil {
+			return err
+		}
+	}
+	old := map[string]map[string]any{}
+	for _, v := range m.all["repository"].([]any) {
+		old[v.(map[string]any)["name"].(string)] = v.(map[string]any)
+	}
+	for _, v := range next["repository"].([]any) {
+		r := v.(map[string]any)
+		if name := r["name"].(string); r["discovery"] == nil {
+			m.repos[name].List(mirrors(r, old[name], m.now()))
+		}
+	}
+	if d != nil {
+		m.Carrier.Keys(servers)
+		if d["discovery"] == nil {
+			m.director.Hosts(true, listed(d))
+		}
+		if w, ok := d["wave"].([]any); ok {
+			m.director.Stage(wave(w))
+		}
+	}
+	m.all = next
+	return nil
+}
+
+// fixed finds a directive that differs and that can't change in service.
+func fixed(a, b map[string]any) string {
+	if b == nil {
+		return "the block itself"
+	}
+	for name := range a {
+		if name != "repository" && name != "director" && !reflect.DeepEqual(a[name], b[name]) {
+			return name
+		}
+	}
+	for name := range b {
+		if _, ok := a[name]; !ok {
+			return name
+		}
+	}
+	x, y := a["repository"].([]any), b["repository"].([]any)
+	if len(x) != len(y) {
+		return "repository"
+	}
+	for i := range x {
+		if same := without(x[i], y[i], "mirror"); same != "" {
+			return "repository." + same
+		}
+	}
+	if (a["director"] == nil) != (b["director"] == nil) {
+		return "director"
+	}
+	if a["director"] != nil {
+		if same := without(a["director"], b["director"], "chain", "key", "server", "wave"); same != "" {
+			return "director." + same
+		}
+	}
+	return ""
+}
+
+// without compares two blocks but for some directives.
+func without(a, b any, but ...string) string {
+	x, y := a.(map[string]any), b.(map[string]any)
+	for _, m := range []map[string]any{x, y} {
+		for name := range m {
+			skip := false
+			for _, n := range but {
+				skip = skip || n == name
+			}
+			if !skip && !reflect.DeepEqual(x[name], y[name]) {
+				return name
+			}
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/standin/repository/keeper.go
@@ -0,0 +1,238 @@
+// Package repository stands in for what the metadata front deals with: keepers who publish a TUF repository,
+// mirrors that serve it with faults by script, and picture servers that update from it. It is written from the TUF
+// specification (1.0.31) and the Uptane Standard (2.1); the servers verify by the public TUF library's own
+// workflow, which the product does not use, so that a fault of ours shows.
+package repository
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/theupdateframework/go-tuf/v2/metadata"
+
+	"silvercove/internal/keys"
+	"silvercove/internal/repo"
+)
+
+// Clock is a time that tests set.
+type Clock struct {
+	mu   sync.Mutex
+	from time.Time
+	at   time.Time
+	runs bool
+}
+
+// NewClock starts at a fixed moment. It goes on by itself only if runs.
+func NewClock(runs bool) *Clock {
+	return &Clock{at: time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC), from: time.Now(), runs: runs}
+}
+
+// Now is the time.
+func (c *Clock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.runs {
+		return c.at.Add(time.Since(c.from))
+	}
+	return c.at
+}
+
+// Jump moves it, also back.
+func (c *Clock) Jump(by time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.at = c.at.Add(by)
+}
+
+// Set sets it.
+func (c *Clock) Set(to time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.at, c.from = to, time.Now()
+}
+
+// Set of files as they were published at once.
+type Set struct {
+	Files   map[string][]byte
+	Targets map[string][]byte
+}
+
+// Keeper publishes one repository and remembers what it published.
+type Keeper struct {
+	Dir     string
+	Repo    *repo.Repo
+	Clock   *Clock
+	Keys    map[string][]*keys.Key // by role
+	mu      sync.Mutex
+	history []Set
+	content map[string][]byte // of all targets ever, by path as stored
+}
+
+// NewKeeper makes a repository in a folder: root and targets signed by two of three keys, the others by one.
+func NewKeeper(dir string, clock *Clock, life repo.Life, consistent bool) (*Keeper, error) {
+	k := &Keeper{Dir: dir, Clock: clock, Keys: map[string][]*keys.Key{}, content: map[string][]byte{}}
+	roles := map[string]repo.Role{}
+	for role, n := range map[string]int{"root": 3, "targets": 3, "snapshot": 1, "timestamp": 1} {
+		is := repo.Role{Threshold: (n + 1) / 2}
+		for i := range n {
+			one, err := keys.Generate([]string{"ed25519", "ecdsa"}[i%2])
+			if err != nil {
+				return nil, err
+			}
+			k.Keys[role] = append(k.Keys[role], one)
+			is.Keys = append(is.Keys, one.Public)
+		}
+		roles[role] = is
+	}
+	if life == (repo.Life{}) {
+		life = repo.Lives
+	}
+	if _, err := os.Stat(filepath.Join(dir, "metadata")); err == nil {
+		return nil, repo.ErrExists
+	}
+	r, err := repo.Init(dir, roles, consistent, life)
+	if err != nil {
+		return nil, err
+	}
+	// Init takes the real clock for its first ends: set them by this one.
+	r.Now, k.Repo = clock.Now, r
+	for _, role := range []string{"root", "targets"} {
+		if err := r.Renew(role); err != nil {
+			return nil, err
+		}
+	}
+	return k, k.Publish("root", "targets")
+}
+
+// Sign signs what is staged of a role with as many of its keys as its threshold asks for.
+func (k *Keeper) Sign(role string) error {
+	need := (len(k.Keys[role]) + 1) / 2
+	for _, one := range k.Keys[role][:need] {
+		if err := k.Repo.Sign(role, one); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Publish signs the staged roles that are named, and publishes.
+func (k *Keeper) Publish(staged ...string) error {
+	for _, role := range staged {
+		if err := k.Sign(role); err != nil {
+			return err
+		}
+	}
+	if err := k.Repo.Publish(append(k.Keys["snapshot"], k.Keys["timestamp"]...)); err != nil {
+		return err
+	}
+	return k.remember()
+}
+
+func (k *Keeper) remember() error {
+	files, _, err := repo.Files(k.Dir)
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	content := map[string][]byte{}
+	for name, text := range k.content {
+		content[name] = text
+	}
+	k.history = append(k.history, Set{files, content})
+	return nil
+}
+
+// Add publishes a package.
+func (k *Keeper) Add(path string, build uint16, content []byte, kinds ...string) error {
+	if err := k.Stage(path, build, content, kinds...); err != nil {
+		return err
+	}
+	return k.Publish("targets")
+}
+
+// Stage stages a package without publishing it.
+func (k *Keeper) Stage(path string, build uint16, content []byte, kinds ...string) error {
+	file := filepath.Join(k.Dir, "incoming")
+	if err := os.WriteFile(file, content, 0o600); err != nil {
+		return err
+	}
+	if err := k.Repo.Add("targets", file, path, build, kinds); err != nil {
+		return err
+	}
+	all := filepath.Join(k.Dir, "targets")
+	return filepath.Walk(all, func(p string, info os.FileInfo, err error) error {
+		if err != nil || info.IsDir() {
+			return err
+		}
+		rel, _ := filepath.Rel(all, p)
+		text, err := os.ReadFile(p)
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.content[filepath.ToSlash(rel)] = text
+		return err
+	})
+}
+
+// Rotate gives a role one new key in place of its first, and publishes the next root, signed by old and new.
+func (k *Keeper) Rotate(role string) error {
+	fresh, err := keys.Generate("ed25519")
+	if err != nil {
+		return err
+	}
+	old := k.Keys[role][0]
+	if err := k.Repo.Rotate(role, []*metadata.Key{fresh.Public}, []string{old.ID}, 0); err != nil {
+		return err
+	}
+	signers := k.Keys["root"]
+	k.Keys[role] = append(append([]*keys.Key{}, k.Keys[role][1:]...), fresh)
+	for _, one := range append(append([]*keys.Key{}, signers...), k.Keys["root"]...) {
+		if err := k.Repo.Sign("root", one); err != nil {
+			return err
+		}
+	}
+	staged := []string{}
+	if role == "targets" {
+		if err := k.Repo.Renew("targets"); err != nil {
+			return err
+		}
+		staged = append(staged, "targets")
+	}
+	return k.Publish(staged...)
+}
+
+// Root is a published root.
+func (k *Keeper) Root(version int) []byte {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.history[len(k.history)-1].Files[fmt.Sprintf("%d.root.json", version)]
+}
+
+// At is what was published at one of the times, from 0; behind the last it is the last.
+func (k *Keeper) At(n int) Set {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.history[max(0, min(n, len(k.history)-1))]
+}
+
+// Len tells how often was published.
+func (k *Keeper) Len() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.history)
+}
+
+// Version is the version of a role in the last published set's unversioned or newest file.
+func (k *Keeper) Version(role string) int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return newest(k.history[len(k.history)-1].Files, role)
+}
+
+// Life for tests in which things expire.
+func Life(each time.Duration) repo.Life {
+	return repo.Life{Root: 1000 * each, Targets: 100 * each, Snapshot: 10 * each, Timestamp: each}
+}
--- /dev/null
+++ b/internal/standin/repository/mirror.go
@@ -0,0 +1,286 @@
+package repository
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"silvercove/internal/trust"
+)
+
+// Fault is what a mirror does instead of answering as it should.
+type Fault struct {
+	From, To int    // by the number of the request at this mirror, from 0; To -1: for ever
+	Match    string // part of the path; "" for all
+	What     string // lag, freeze, mix, endless, slow, length, half, foreign, status, refuse, silent, flip
+	N        int    // of lag, slow (ms a byte), status, flip (the byte), half (in per cent)
+}
+
+// ParseScript reads faults, one a line: FROM-TO MATCH WHAT [N]. "*" matches all, an open end is left out.
+func ParseScript(text string) ([]Fault, error) {
+	var all []Fault
+	for i, line := range strings.Split(text, "\n") {
+		line, _, _ = strings.Cut(line, "#")
+		words := strings.Fields(line)
+		if len(words) == 0 {
+			continue
+		}
+		f := Fault{To: -1}
+		from, to, _ := strings.Cut(words[0], "-")
+		var err error
+		if len(words) >= 3 {
+			f.Match, f.What = strings.TrimPrefix(words[1], "*"), words[2]
+			if f.From, err = strconv.Atoi(from); err == nil && to != "" {
+				f.To, err = strconv.Atoi(to)
+			}
+			if len(words) == 4 && err == nil {
+				f.N, err = strconv.Atoi(words[3])
+			}
+		}
+		known := strings.Contains(" lag freeze mix endless slow length half foreign status refuse silent flip ", " "+f.What+" ")
+		if len(words) < 3 || len(words) > 4 || err != nil || !known {
+			return nil, fmt.Errorf("line %d: %q: FROM-TO MATCH WHAT [N] is wanted", i+1, line)
+		}
+		all = append(all, f)
+	}
+	return all, nil
+}
+
+// Asked is one request that came to a mirror.
+type Asked struct {
+	At   time.Time
+	Path string
+}
+
+// Mirror serves a keeper's repository.
+type Mirror struct {
+	Name     string
+	keeper   *Keeper
+	other    *Keeper // whose files are shown as foreign
+	listener net.Listener
+	server   *http.Server
+	done     sync.WaitGroup
+
+	mu     sync.Mutex
+	faults []Fault
+	asked  []Asked
+	frozen int // the set that it stays at, -1 for none
+	n      int
+	quit   chan struct{}
+}
+
+// NewMirror starts a mirror on loopback; other may be nil.
+func NewMirror(name string, keeper, other *Keeper, faults ...Fault) (*Mirror, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	m := &Mirror{Name: name, keeper: keeper, other: other, listener: l, faults: faults, frozen: -1,
+		quit: make(chan struct{})}
+	m.server = &http.Server{Handler: m}
+	m.done.Add(1)
+	go func() {
+		defer m.done.Done()
+		m.server.Serve(l)
+	}()
+	return m, nil
+}
+
+// Address is where it listens.
+func (m *Mirror) Address() string { return m.listener.Addr().String() }
+
+// Close ends it at once.
+func (m *Mirror) Close() {
+	m.mu.Lock()
+	select {
+	case <-m.quit:
+	default:
+		close(m.quit)
+	}
+	m.mu.Unlock()
+	m.server.Close()
+	m.done.Wait()
+}
+
+// Script replaces its faults; numbers count from now.
+func (m *Mirror) Script(faults ...Fault) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.faults, m.n, m.frozen = faults, 0, -1
+}
+
+// Asked tells what was asked of it.
+func (m *Mirror) Asked() []Asked {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]Asked(nil), m.asked...)
+}
+
+// fault finds the one that acts on a request.
+func (m *Mirror) fault(path string) (f Fault, set int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n, set := m.n, m.keeper.Len()-1
+	m.n++
+	m.asked = append(m.asked, Asked{time.Now(), path})
+	for _, is := range m.faults {
+		if n < is.From || is.To >= 0 && n > is.To || !strings.Contains(path, is.Match) {
+			continue
+		}
+		switch is.What {
+		case "lag":
+			set = max(0, set-is.N)
+		case "freeze":
+			if m.frozen < 0 {
+				m.frozen = set
+			}
+			set = m.frozen
+		default:
+			f = is
+		}
+	}
+	return f, set
+}
+
+// ServeHTTP answers as the script says.
+func (m *Mirror) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	path := strings.TrimPrefix(req.URL.Path, "/")
+	f, at := m.fault(path)
+	set := m.keeper.At(at)
+	if f.What == "foreign" && m.other != nil {
+		set = m.other.At(m.other.Len() - 1)
+	}
+	kind, name, _ := strings.Cut(path, "/")
+	data, ok := set.Files[name]
+	if kind == "targets" {
+		data, ok = set.Targets[name]
+	}
+	if f.What == "mix" { // the newest name with older content
+		if v, role := version(name), role(name); v > 1 {
+			if was, there := set.Files[fmt.Sprintf("%d.%s.json", v-1, role)]; there {
+				data, ok = was, true
+			}
+		}
+	}
+	switch {
+	case f.What == "status":
+		http.Error(w, "by script", f.N)
+		return
+	case f.What == "refuse":
+		panic(http.ErrAbortHandler)
+	case f.What == "silent":
+		select {
+		case <-req.Context().Done():
+		case <-m.quit:
+		}
+		panic(http.ErrAbortHandler)
+	case !ok:
+		http.NotFound(w, req)
+		return
+	case f.What == "":
+		http.ServeContent(w, req, "", time.Time{}, strings.NewReader(string(data)))
+		return
+	}
+	m.spoilt(w, req, f, data)
+}
+
+// spoilt gives a file in one of the wrong ways.
+func (m *Mirror) spoilt(w http.ResponseWriter, req *http.Request, f Fault, data []byte) {
+	switch f.What {
+	case "endless":
+		junk := make([]byte, 32<<10)
+		for i := range junk {
+			junk[i] = byte(i)
+		}
+		w.Write(data)
+		for range 4096 { // 128 MB at the most
+			if _, err := w.Write(junk); err != nil {
+				return
+			}
+		}
+	case "slow":
+		flush := http.NewResponseController(w)
+		w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+		for i := range data {
+			if _, err := w.Write(data[i : i+1]); err != nil {
+				return
+			}
+			flush.Flush()
+			select {
+			case <-time.After(time.Duration(f.N) * time.Millisecond):
+			case <-req.Context().Done():
+				return
+			case <-m.quit:
+				return
+			}
+		}
+	case "length":
+		w.Header().Set("Content-Length", strconv.Itoa(len(data)+7))
+		w.Write(data)
+		panic(http.ErrAbortHandler)
+	case "half":
+		part := f.N
+		if part == 0 {
+			part = 50
+		}
+		from := 0
+		if r, ok := strings.CutPrefix(req.Header.Get("Range"), "bytes="); ok {
+			from, _ = strconv.Atoi(strings.TrimSuffix(r, "-"))
+			w.Header().Set("Content-Range", fmt.Sprintf("bytes %d-%d/%d", from, len(data)-1, len(data)))
+		}
+		rest := data[min(from, len(data)):]
+		w.Header().Set("Content-Length", strconv.Itoa(len(rest)))
+		if from > 0 {
+			w.WriteHeader(http.StatusPartialContent)
+		}
+		w.Write(rest[:len(rest)*part/100])
+		panic(http.ErrAbortHandler)
+	case "flip":
+		bad := append([]byte(nil), data...)
+		if len(bad) > 0 {
+			bad[f.N%len(bad)] ^= 0x20
+		}
+		http.ServeContent(w, req, "", time.Time{}, strings.NewReader(string(bad)))
+	default: // of an older set, mixed or foreign
+		w.Write(data)
+	}
+}
+
+func version(name string) int64 {
+	f, _ := trust.ParseFile(name)
+	return f.Version
+}
+
+func role(name string) string {
+	f, _ := trust.ParseFile(name)
+	return f.Role
+}
+
+// newest is the highest version of a role among files.
+func newest(files map[string][]byte, of string) (v int64) {
+	for name, text := range files {
+		if role(name) != of {
+			continue
+		}
+		is := version(name)
+		if is == 0 {
+			is = inside(text)
+		}
+		v = max(v, is)
+	}
+	return v
+}
+
+// inside is the version that a file says of itself.
+func inside(text []byte) int64 {
+	var m struct{ Signed struct{ Version int64 } }
+	if json.Unmarshal(text, &m) != nil {
+		return 0
+	}
+	return m.Signed.Version
+}
