--- /dev/null
+++ b/cmd/covectl/lab.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"time"
+
+	"silvercove/internal/lab"
+)
+
+type labCmd struct {
+	Metadata labMetadataCmd `cmd:"" help:"Measure the metadata front, its floor and its verification."`
+}
+
+type labMetadataCmd struct {
+	Servers []int         `default:"10,1000,10000" help:"Sizes of the fleet."`
+	Asks    int           `default:"20000" help:"Requests of each kind for a size."`
+	Width   int           `default:"256" help:"Connections at once."`
+	Entries int           `default:"1000000" help:"Entries of the floor."`
+	Poll    time.Duration `default:"200ms" help:"Between two questions of a server."`
+	Out     string        `type:"existingdir" help:"Folder for the plot."`
+}
+
+// Run measures.
+func (c *labMetadataCmd) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	return lab.Metadata{Servers: c.Servers, Asks: c.Asks, Width: c.Width, Entries: c.Entries, Poll: c.Poll,
+		Out: c.Out}.Run(ctx, os.Stdout)
+}
--- /dev/null
+++ b/cmd/covectl/main.go
@@ -0,0 +1,84 @@
+// Command covectl is the control program: it checks operators' files, keeps keys and repositories, runs the
+// metadata front and its measurements. What is heavy stands here, so that the relay stays lean.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+
+	"silvercove/internal/conf"
+)
+
+// commands are all sub-commands.
+type commands struct {
+	Check     checkCmd     `cmd:"" help:"Check an operator's file."`
+	Reference referenceCmd `cmd:"" help:"Print the reference page of the operator's file."`
+	Keys      keysCmd      `cmd:"" help:"Make and list signing keys."`
+	Tuf       tufCmd       `cmd:"" help:"Keep a TUF repository."`
+	Uptane    uptaneCmd    `cmd:"" help:"Look into what a Director tells servers."`
+	Metadata  metadataCmd  `cmd:"" help:"Run or watch the metadata front."`
+	Floor     floorCmd     `cmd:"" help:"Look into a floor, or set its time back."`
+	Standin   standinCmd   `cmd:"" help:"Stand-ins for trying things out."`
+	Lab       labCmd       `cmd:"" help:"Measurements against stand-ins."`
+}
+
+func main() {
+	var c commands
+	parser := kong.Must(&c, kong.Name("covectl"), kong.UsageOnError(),
+		kong.Description("Control program of silvercove. Pass phrases come from the file that COVE_PASSPHRASE_FILE names, "+
+			"or from COVE_PASSPHRASE."))
+	ctx, err := parser.Parse(os.Args[1:])
+	parser.FatalIfErrorf(err)
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "covectl:", err)
+		os.Exit(1)
+	}
+}
+
+type checkCmd struct {
+	File string `arg:"" help:"The operator's file."`
+}
+
+// Run checks a file.
+func (c *checkCmd) Run() error {
+	all, err := conf.Operators.Read(c.File)
+	if err != nil {
+		return err
+	}
+	on := "nothing is switched on"
+	if all["metadata"] != nil {
+		on = "metadata is switched on"
+	}
+	fmt.Printf("%s: in order; %s\n", c.File, on)
+	return nil
+}
+
+type referenceCmd struct{}
+
+// Run prints the page.
+func (c *referenceCmd) Run() error {
+	fmt.Print(conf.Operators.Reference())
+	return nil
+}
+
+// logger writes structured lines to standard error, at a level of the operator's file.
+func logger(level string) zerolog.Logger {
+	l, err := zerolog.ParseLevel(level)
+	if err != nil {
+		l = zerolog.InfoLevel
+	}
+	return zerolog.New(os.Stderr).Level(l).With().Timestamp().Logger()
+}
+
+// full tells a full disk from other errors, for a plain word about it.
+func full(err error) error {
+	if errors.Is(err, syscall.ENOSPC) {
+		return fmt.Errorf("the disk is full, and nothing was changed: %w", err)
+	}
+	return err
+}
--- /dev/null
+++ b/cmd/covectl/metadata.go
@@ -0,0 +1,337 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"silvercove/internal/conf"
+	"silvercove/internal/floor"
+	"silvercove/internal/keys"
+	"silvercove/internal/service"
+	"silvercove/internal/trust"
+)
+
+type metadataCmd struct {
+	Serve  serveCmd  `cmd:"" help:"Run the metadata front of an operator's file."`
+	Status statusCmd `cmd:"" help:"Print the counters of a running front."`
+}
+
+type serveCmd struct {
+	File string `arg:"" help:"The operator's file."`
+}
+
+// Run serves until SIGTERM or SIGINT; SIGHUP takes the file again.
+func (c *serveCmd) Run() error {
+	all, err := conf.Operators.Read(c.File)
+	if err != nil {
+		return err
+	}
+	level, _ := all["log_level"].(string)
+	log := logger(level)
+	m, err := service.New(c.File, os.Getenv, time.Now, log)
+	if err != nil {
+		return full(err)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	ended := make(chan error, 1)
+	go func() { ended <- m.Run(ctx) }()
+	log.Info().Str("listen", m.Address()).Msg("serving metadata")
+	for {
+		select {
+		case err := <-ended:
+			log.Info().Msg("stopped")
+			return err
+		case <-hup:
+			if err := m.Reload(); err != nil {
+				log.Error().Err(err).Msg("the file was not taken, what was in force stays")
+				continue
+			}
+			log.Info().Msg("the file was taken")
+		}
+	}
+}
+
+type statusCmd struct {
+	Address string `arg:"" help:"HOST:PORT of the front."`
+}
+
+// Run prints the counters.
+func (c *statusCmd) Run() error { return show("http://" + c.Address + "/status") }
+
+func show(url string) error {
+	client := &http.Client{Timeout: 5 * time.Second}
+	resp, err := client.Get(url)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, 4<<10))
+		return fmt.Errorf("status %d: %s", resp.StatusCode, strings.TrimSpace(string(text)))
+	}
+	_, err = io.Copy(os.Stdout, resp.Body)
+	return err
+}
+
+type tufVerifyCmd struct {
+	Root string `required:"" type:"existingfile" help:"The pinned root."`
+	From string `arg:"" help:"A repository's folder, or http://HOST:PORT/r/NAME of a front."`
+	Path string `help:"Also look this target up."`
+}
+
+// Run walks the client workflow with an empty floor.
+func (c *tufVerifyCmd) Run() error {
+	pinned, err := os.ReadFile(c.Root)
+	if err != nil {
+		return err
+	}
+	get := func(name string) ([]byte, error) {
+		text, err := os.ReadFile(filepath.Join(c.From, "metadata", name))
+		if errors.Is(err, os.ErrNotExist) {
+			return nil, nil
+		}
+		return text, err
+	}
+	if strings.HasPrefix(c.From, "http://") {
+		client := &http.Client{Timeout: 10 * time.Second}
+		get = func(name string) ([]byte, error) {
+			resp, err := client.Get(c.From + "/metadata/" + name)
+			if err != nil {
+				return nil, err
+			}
+			defer resp.Body.Close()
+			if resp.StatusCode == http.StatusNotFound {
+				return nil, nil
+			}
+			if resp.StatusCode != http.StatusOK {
+				return nil, fmt.Errorf("%s: status %d", name, resp.StatusCode)
+			}
+			return io.ReadAll(io.LimitReader(resp.Body, trust.MostTargets+1))
+		}
+	}
+	now := trust.Of(time.Now())
+	r, err := trust.New("repository", floor.InMemory(1<<16, func(string) {}), now, pinned)
+	if err != nil {
+		return err
+	}
+	for {
+		text, err := get(trust.File{Role: "root", Version: r.Next()}.String())
+		if err != nil {
+			return err
+		}
+		if text == nil {
+			break
+		}
+		if refusal := r.Root(now, text); refusal != nil {
+			return refusal
+		}
+	}
+	take := func(f trust.File) error {
+		text, err := get(f.String())
+		if err != nil {
+			return err
+		}
+		if text == nil {
+			return fmt.Errorf("%s is not there", f)
+		}
+		var refusal *trust.Refusal
+		switch f.Role {
+		case "timestamp":
+			refusal = r.Timestamp(now, text)
+		case "snapshot":
+			refusal = r.Snapshot(now, text)
+		default:
+			refusal = r.Targets(now, f.Role, text)
+		}
+		if refusal != nil {
+			return refusal
+		}
+		fmt.Printf("%s %d is in order\n", f.Role, r.Version(f.Role))
+		return nil
+	}
+	for {
+		f, _, ok := r.Wanted(now)
+		if !ok {
+			break
+		}
+		if f.Role == "root" {
+			_, refusal := r.Current(now, trust.File{Role: "root"})
+			return refusal
+		}
+		if err := take(f); err != nil {
+			return err
+		}
+	}
+	fmt.Printf("root %d is in order; all of it lasts until %s\n", r.Version("root"),
+		r.Expires().Time().Format(time.RFC3339))
+	for c.Path != "" {
+		t, need, refusal := r.Find(now, c.Path)
+		if refusal != nil {
+			return refusal
+		}
+		if need == "" {
+			fmt.Printf("%s: %d bytes, SHA-256 %x, build %d, vouched for by %s\n", t.Path, t.Length, t.Sum, t.Custom.Build,
+				t.Role)
+			break
+		}
+		f, _, refusal := r.Role(now, need)
+		if refusal != nil {
+			return refusal
+		}
+		if err := take(f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type uptaneCmd struct {
+	Assign   assignCmd   `cmd:"" help:"Print what the Director of a front tells a server."`
+	Manifest manifestCmd `cmd:"" help:"Sign a report and print it, or send it."`
+	Explain  explainCmd  `cmd:"" help:"Tell why a server may run what it is told."`
+}
+
+type assignCmd struct {
+	Address string `arg:"" help:"HOST:PORT of the front."`
+	Server  string `arg:"" help:"Name of the server."`
+	Root    string `required:"" type:"existingfile" help:"The Director's pinned root."`
+}
+
+// Run verifies and prints the assignment.
+func (c *assignCmd) Run() error {
+	pinned, err := os.ReadFile(c.Root)
+	if err != nil {
+		return err
+	}
+	all, err := service.Assignment("http://"+c.Address, c.Server, pinned, time.Now())
+	if err != nil {
+		return err
+	}
+	if len(all) == 0 {
+		fmt.Printf("%s is told no package\n", c.Server)
+	}
+	for _, t := range all {
+		fmt.Printf("%s is told %s, build %d: %d bytes, SHA-256 %x\n", c.Server, t.Path, t.Custom.Build, t.Length, t.Sum)
+	}
+	return nil
+}
+
+type manifestCmd struct {
+	Key       string `required:"" help:"Key file of the server."`
+	Server    string `arg:"" help:"Name of the server."`
+	Hardware  string `required:"" help:"Its kind of hardware."`
+	Counter   int64  `required:"" help:"Higher than that of any report before."`
+	Running   string `help:"Path of the package that it runs."`
+	Build     uint16 `help:"Its build."`
+	Installed string `enum:",ok,failed,declined" default:"" help:"How the last installation went."`
+	Tried     string `help:"Path of the package that was to be installed."`
+	Send      string `help:"HOST:PORT of a front to send it to."`
+}
+
+// Run signs a report.
+func (c *manifestCmd) Run() error {
+	k, err := keys.Load(c.Key, keys.PhraseFrom(os.Getenv))
+	if err != nil {
+		return err
+	}
+	text, err := trust.SignReport(trust.Report{Server: c.Server, Hardware: c.Hardware, Counter: c.Counter, At: time.Now(),
+		Running: c.Running, Build: c.Build, Installed: c.Installed, Tried: c.Tried}, k.Private)
+	if err != nil {
+		return err
+	}
+	if c.Send == "" {
+		fmt.Println(string(text))
+		return nil
+	}
+	client := &http.Client{Timeout: 10 * time.Second}
+	resp, err := client.Post("http://"+c.Send+"/director/"+c.Server+"/manifest", "application/json",
+		strings.NewReader(string(text)))
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	answer, _ := io.ReadAll(io.LimitReader(resp.Body, 4<<10))
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d: %s", resp.StatusCode, strings.TrimSpace(string(answer)))
+	}
+	fmt.Println(strings.TrimSpace(string(answer)))
+	return nil
+}
+
+type explainCmd struct {
+	Address string `arg:"" help:"HOST:PORT of the front."`
+	Server  string `arg:"" help:"Name of the server."`
+}
+
+// Run prints the reasons.
+func (c *explainCmd) Run() error {
+	if _, _, err := net.SplitHostPort(c.Address); err != nil {
+		return err
+	}
+	return show("http://" + c.Address + "/explain/" + c.Server)
+}
+
+type floorCmd struct {
+	Show  floorShowCmd  `cmd:"" help:"List what a floor holds; it must not be in use."`
+	Clock floorClockCmd `cmd:"" help:"Set the floor's time back to now, after a clock was far ahead."`
+}
+
+type floorShowCmd struct {
+	Paths []string `arg:"" type:"existingfile" help:"The floor's copies."`
+}
+
+// Run lists a floor.
+func (c *floorShowCmd) Run() error {
+	f, err := floor.Open(c.Paths, 1<<30, func(text string) { fmt.Fprintln(os.Stderr, text) })
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	fmt.Printf("time %s\n", f.Passed().Time().Format(time.RFC3339))
+	for _, e := range f.Entries() {
+		fmt.Printf("%s %d %x\n", e.Key, e.Version, e.Sum[:8])
+	}
+	return nil
+}
+
+type floorClockCmd struct {
+	Paths []string `arg:"" type:"existingfile" help:"The floor's copies."`
+	Yes   bool     `help:"Do it: what has expired since may count as current again until its own end."`
+}
+
+// Run sets the time back.
+func (c *floorClockCmd) Run() error {
+	if !c.Yes {
+		return errors.New("this makes metadata that had expired by the floor's time current again: say --yes if the clock " +
+			"was wrong, and is right now")
+	}
+	f, err := floor.Open(c.Paths, 1<<30, func(text string) { fmt.Fprintln(os.Stderr, text) })
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	was, now := f.Passed(), trust.Of(time.Now())
+	if was <= now {
+		fmt.Printf("the floor's time %s is not ahead: nothing was changed\n", was.Time().Format(time.RFC3339))
+		return nil
+	}
+	if err := f.Lower(now); err != nil {
+		return full(err)
+	}
+	fmt.Printf("set back from %s to %s\n", was.Time().Format(time.RFC3339), now.Time().Format(time.RFC3339))
+	return nil
+}
--- /dev/null
+++ b/cmd/covectl/standin.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"silvercove/internal/keys"
+	"silvercove/internal/standin/repository"
+)
+
+type standinCmd struct {
+	Mirror standinMirrorCmd `cmd:"" help:"Serve a repository's folder as a mirror, on loopback."`
+	Server standinServerCmd `cmd:"" help:"Be a picture server: update from a front, install, report."`
+}
+
+type standinMirrorCmd struct {
+	Repo    string `arg:"" type:"existingdir" help:"The repository."`
+	Address string `arg:"" help:"Loopback HOST:PORT."`
+}
+
+// loopback refuses every other address.
+func loopback(address string) error {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return err
+	}
+	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+		return fmt.Errorf("%s: stand-ins run on loopback addresses only", address)
+	}
+	return nil
+}
+
+// Run serves until it is stopped.
+func (c *standinMirrorCmd) Run() error {
+	if err := loopback(c.Address); err != nil {
+		return err
+	}
+	files := http.NewServeMux()
+	for _, sub := range []string{"metadata", "targets"} {
+		files.Handle("/"+sub+"/", http.StripPrefix("/"+sub+"/", http.FileServer(http.Dir(filepath.Join(c.Repo, sub)))))
+	}
+	server := &http.Server{Addr: c.Address, Handler: files, ReadHeaderTimeout: 5 * time.Second}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	context.AfterFunc(ctx, func() { server.Close() })
+	if err := server.ListenAndServe(); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
+
+type standinServerCmd struct {
+	Name         string        `arg:"" help:"Name of the server."`
+	Kind         string        `arg:"" help:"Its kind of hardware."`
+	Front        string        `required:"" help:"Loopback HOST:PORT of the front."`
+	Image        string        `required:"" help:"Name of the image repository there."`
+	ImageRoot    string        `required:"" type:"existingfile" help:"Its pinned root."`
+	DirectorRoot string        `required:"" type:"existingfile" help:"The Director's pinned root."`
+	Key          string        `required:"" help:"Key file of the server."`
+	Until        uint16        `help:"End once it runs this build."`
+	For          time.Duration `default:"30s" help:"Give up after this time."`
+	Poll         time.Duration `default:"200ms" help:"Between two rounds."`
+}
+
+// Run updates until the build runs.
+func (c *standinServerCmd) Run() error {
+	if err := loopback(c.Front); err != nil {
+		return err
+	}
+	s := &repository.Server{Name: c.Name, Kind: c.Kind, Front: "http://" + c.Front, Image: c.Image, Now: time.Now,
+		ImageHTTP: http.DefaultTransport, DirHTTP: http.DefaultTransport}
+	for path, into := range map[string]*[]byte{c.ImageRoot: &s.ImageRoot, c.DirectorRoot: &s.DirRoot} {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		*into = text
+	}
+	var err error
+	if s.Key, err = keys.Load(c.Key, keys.PhraseFrom(os.Getenv)); err != nil {
+		return err
+	}
+	s.Count(time.Now().UnixMilli()) // reports count further than those of an earlier run
+	for end := time.Now().Add(c.For); ; time.Sleep(c.Poll) {
+		before := s.Build
+		err := s.Step()
+		if s.Build != before {
+			fmt.Printf("%s runs build %d, %s\n", s.Name, s.Build, s.Running)
+		}
+		if c.Until != 0 && s.Build == c.Until {
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("%s runs build %d after %v: %w", s.Name, s.Build, c.For, err)
+		}
+	}
+}
--- a/cmd/silvercove/main.go
+++ b/cmd/silvercove/main.go
@@ -1,5 +1,6 @@
 // Command silvercove is one relay: it takes commands from clients, has the decision module choose
-// what becomes of each, and speaks with units, the list of units and the platform.
+// what becomes of each, and speaks with units, the list of units and the platform. "silvercove check FILE"
+// checks an operator's file.
 package main
 
 import (
@@ -19,6 +20,7 @@
 	"golang.org/x/sys/unix"
 
 	"silvercove/internal/clients"
+	"silvercove/internal/conf"
 	"silvercove/internal/gate"
 	"silvercove/internal/link"
 	"silvercove/internal/list"
@@ -34,6 +36,9 @@
 )
 
 func main() {
+	if len(os.Args) > 1 {
+		os.Exit(other(os.Args[1:]))
+	}
 	t, err := readTold(os.Getenv)
 	if err == nil {
 		err = run(t, os.Getenv)
@@ -44,6 +49,20 @@
 	}
 }
 
+// other is what the program does with arguments: check an operator's file. Without any it is a relay.
+func other(args []string) (code int) {
+	if len(args) != 2 || args[0] != "check" {
+		fmt.Fprintln(os.Stderr, "usage: silvercove, or silvercove check FILE")
+		return 2
+	}
+	if _, err := conf.Operators.Read(args[1]); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	fmt.Println(args[1] + ": in order")
+	return 0
+}
+
 // relay is the parts of the program.
 type relay struct {
 	log   zerolog.Logger
--- a/cmd/silvercove/main_test.go
+++ b/cmd/silvercove/main_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -201,3 +202,33 @@
 		})
 	}
 }
+
+// TestLean: the relay does not pay for what is heavy.
+func TestLean(t *testing.T) {
+	out, err := exec.Command("go", "list", "-deps", ".").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, heavy := range []string{"google.golang.org/grpc", "envoyproxy", "gonum.org", "go-tuf", "sigstore", "hdrhistogram",
+		"kong", "internal/carrier", "internal/lab", "internal/standin"} {
+		if strings.Contains(string(out), heavy) {
+			t.Errorf("it depends on %s", heavy)
+		}
+	}
+}
+
+func TestCheck(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.conf")
+	if err := os.WriteFile(bad, []byte("metadat {\n}\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		args []string
+		code int
+	}{{[]string{"check", "../../deploy/metadata.conf"}, 0}, {[]string{"check", bad}, 1}, {[]string{"check"}, 2},
+		{[]string{"help"}, 2}, {[]string{"check", "nowhere"}, 1}} {
+		if got := other(c.args); got != c.code {
+			t.Errorf("%v: exit %d, wanted %d", c.args, got, c.code)
+		}
+	}
+}
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -262,6 +262,10 @@
 	}
 	for _, t := range all {
 		is, refusal := r.agrees.Find(t.Path)
+		if refusal != nil && refusal.Why == trust.Unnamed {
+			refusal = &trust.Refusal{Why: trust.Disagree, Repository: r.name, Role: t.Path, Text: "the other does not know it"}
+			c.log(refusal.Error())
+		}
 		if refusal != nil {
 			return refusal
 		}
--- a/internal/conf/grammar.go
+++ b/internal/conf/grammar.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 
 	"github.com/alecthomas/participle/v2"
 	"github.com/alecthomas/participle/v2/lexer"
@@ -24,7 +25,7 @@
 	mostIncludes = 16      // one inside another
 )
 
-var words = lexer.MustSimple([]lexer.SimpleRule{
+var words = []lexer.SimpleRule{
 	{Name: "Comment", Pattern: `#[^\n]*`},
 	{Name: "Quoted", Pattern: `"(\\["\\]|[^"\\\n])*"`},
 	{Name: "Open", Pattern: `\{`},
@@ -32,7 +33,7 @@
 	{Name: "Word", Pattern: `[^\s"{}#]+`},
 	{Name: "EOL", Pattern: `\n`},
 	{Name: "Blank", Pattern: `[ \t\r]+`},
-})
+}
 
 // text is a whole file.
 type text struct {
@@ -57,8 +58,11 @@
 	Lines []*line `parser:"Open EOL @@* Close"`
 }
 
-var grammar = participle.MustBuild[text](participle.Lexer(words), participle.Elide("Comment", "Blank"),
-	participle.UseLookahead(2))
+// grammar is built once it is needed: a relay without an operator's file never pays for it.
+var grammar = sync.OnceValue(func() *participle.Parser[text] {
+	return participle.MustBuild[text](participle.Lexer(lexer.MustSimple(words)), participle.Elide("Comment", "Blank"),
+		participle.UseLookahead(2))
+})
 
 // Error is one fault of a file: where it is, in which directive, what is wrong and what is allowed.
 type Error struct {
@@ -85,7 +89,7 @@
 	if len(content) > mostBytes {
 		return nil, &Error{File: name, Line: 1, Column: 1, Text: fmt.Sprintf("longer than %d bytes", mostBytes)}
 	}
-	t, err := grammar.ParseString(name, string(content)+"\n")
+	t, err := grammar().ParseString(name, string(content)+"\n")
 	if err != nil {
 		if p, ok := err.(participle.Error); ok {
 			return nil, at(p.Position(), "", "%s", explain(p.Message()))
--- /dev/null
+++ b/internal/director/director_test.go
@@ -0,0 +1,338 @@
+package director
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"silvercove/internal/floor"
+	"silvercove/internal/gate"
+	"silvercove/internal/keys"
+	"silvercove/internal/repo"
+	"silvercove/internal/standin/repository"
+	"silvercove/internal/trust"
+)
+
+// house is a Director with its floor on disk.
+type house struct {
+	*testing.T
+	*Director
+	clock  *repository.Clock
+	chain  map[string][]byte
+	online []*keys.Key
+	path   string
+	disk   *floor.Floor
+	image  Image
+	before func() error // of each raise; an error is a disk that fails, after it is a kill
+}
+
+func (h *house) Seen(key string) (int64, trust.Sum) { return h.disk.Seen(key) }
+func (h *house) Passed() trust.Tick                 { return h.disk.Passed() }
+func (h *house) Pass(now trust.Tick) error          { return h.disk.Pass(now) }
+func (h *house) Log(string)                         {}
+func (h *house) Entries() []floor.Entry             { return h.disk.Entries() }
+
+func (h *house) Raise(key string, version int64, sum trust.Sum) error {
+	if err := h.before(); errors.Is(err, errKilled) {
+		h.disk.Raise(key, version, sum)
+		return err
+	} else if err != nil {
+		return err
+	}
+	return h.disk.Raise(key, version, sum)
+}
+
+var errKilled = errors.New("killed")
+
+func newHouse(t *testing.T) *house {
+	t.Helper()
+	h := &house{T: t, clock: repository.NewClock(false), path: filepath.Join(t.TempDir(), "floor"),
+		before: func() error { return nil }}
+	k, err := repository.NewKeeper(filepath.Join(t.TempDir(), "d"), h.clock, repo.Life{}, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { k.Repo.Close() })
+	h.chain = k.At(0).Files
+	for _, role := range []string{"targets", "snapshot", "timestamp"} {
+		h.online = append(h.online, k.Keys[role]...)
+	}
+	h.image = func(path string) (*trust.Target, *trust.Refusal) {
+		if path == "app/9" {
+			return nil, &trust.Refusal{Why: trust.Missing, Text: "not held"}
+		}
+		sum := sha256.Sum256([]byte(path))
+		return &trust.Target{Path: path, Length: 5, Sum: sum}, nil
+	}
+	h.start()
+	t.Cleanup(func() { h.disk.Close() })
+	return h
+}
+
+// start starts, or starts again after a kill.
+func (h *house) start() {
+	h.Helper()
+	if h.disk != nil {
+		h.disk.Close()
+	}
+	var err error
+	if h.disk, err = floor.Open([]string{h.path}, 1000, func(string) {}); err != nil {
+		h.Fatal(err)
+	}
+	h.Director, err = New(h.chain, h.online, h, func(path string) (*trust.Target, *trust.Refusal) { return h.image(path) },
+		h.clock.Now, time.Minute, map[uint16]string{1: "app/1", 2: "app/2", 9: "app/9"}, 1, func(string) {})
+	if err != nil {
+		h.Fatal(err)
+	}
+	var hosts []gate.Host
+	for i := range 10 {
+		hosts = append(hosts, gate.Host{Name: fmt.Sprint("s", i), Zone: "z", Kind: "large", State: "up"})
+	}
+	h.Hosts(true, hosts)
+}
+
+// told gives version and build of what a server would be told, 0 for nothing.
+func (h *house) told(server string) (version int64, build uint16) {
+	h.Helper()
+	text, err := h.File(server, trust.File{Role: "timestamp"})
+	if err != nil {
+		return 0, 0
+	}
+	var m struct {
+		Signed struct {
+			Version int64
+			Targets map[string]struct{ Custom trust.Custom }
+		}
+	}
+	if err := json.Unmarshal(text, &m); err != nil {
+		h.Fatal(err)
+	}
+	version = m.Signed.Version
+	if text, err = h.File(server, trust.File{Role: "targets", Version: version}); err != nil {
+		return version, 0
+	}
+	if err := json.Unmarshal(text, &m); err != nil {
+		h.Fatal(err)
+	}
+	for _, t := range m.Signed.Targets {
+		build = t.Custom.Build
+	}
+	return version, build
+}
+
+func (h *house) wave(build uint16, state string, share float64) {
+	h.Stage(gate.Stage{Build: build, State: state, Cap: share})
+}
+
+func (h *house) second() (n int) {
+	for i := range 10 {
+		if _, b := h.told(fmt.Sprint("s", i)); b == 2 {
+			n++
+		}
+	}
+	return n
+}
+
+// TestKilledBetweenSigningAndPublishing: a number that was made durable is never given to other content, whether
+// its content was seen or not.
+func TestKilledBetweenSigningAndPublishing(t *testing.T) {
+	h := newHouse(t)
+	seen := map[int64]uint16{}
+	last := int64(0)
+	for round := range 12 {
+		h.wave(2, "testing", float64(round%3)/2)
+		if round%2 == 1 {
+			h.before = func() error { return errKilled }
+			if v, _ := h.told("s0"); v != 0 && v <= last {
+				if seen[v] == 0 {
+					t.Errorf("round %d: version %d", round, v)
+				}
+			}
+			h.before = func() error { return nil }
+			h.start()
+			h.wave(2, "testing", float64(round%3)/2)
+		}
+		v, b := h.told("s0")
+		if v < last {
+			t.Errorf("round %d: version %d after %d", round, v, last)
+		}
+		if was, ok := seen[v]; ok && was != b {
+			t.Errorf("version %d names build %d and %d", v, was, b)
+		}
+		seen[v], last = b, v
+	}
+	if last < 6 {
+		t.Errorf("only %d versions were issued", last)
+	}
+}
+
+func TestDiskThatFails(t *testing.T) {
+	h := newHouse(t)
+	if _, b := h.told("s0"); b != 1 {
+		t.Fatalf("told build %d", b)
+	}
+	h.before = func() error { return errors.New("no space") }
+	if v, _ := h.told("s0"); v != 1 {
+		t.Errorf("what was issued and lasts is not given: %d", v)
+	}
+	if v, _ := h.told("s1"); v != 0 {
+		t.Errorf("version %d was given without being kept", v)
+	}
+	h.before = func() error { return nil }
+	h.second()
+	h.before = func() error { return errors.New("no space") }
+	h.wave(2, "testing", 1) // two are told at once
+	given := 0
+	for i := range 10 {
+		if v, b := h.told(fmt.Sprint("s", i)); v != 0 {
+			given++
+			if b != 1 {
+				t.Errorf("build %d was given without being kept", b)
+			}
+		}
+	}
+	if given != 8 {
+		t.Errorf("%d are given what lasts; two are to be told another, and get nothing older", given)
+	}
+	h.before = func() error { return nil }
+	if _, b := h.told("s0"); b == 0 {
+		t.Error("it does not recover")
+	}
+}
+
+func TestRestartKeepsWhoIsTold(t *testing.T) {
+	h := newHouse(t)
+	h.wave(2, "testing", 0.3)
+	if n := h.second(); n != 2 { // a tenth at once, two at the least
+		t.Fatalf("%d are told at first", n)
+	}
+	for range 3 {
+		for i := range 10 {
+			s := fmt.Sprint("s", i)
+			if _, b := h.told(s); b == 2 {
+				h.Reported(&trust.Report{Server: s, Build: 2, Installed: "ok", Tried: "app/2"})
+			}
+		}
+	}
+	if n := h.second(); n != 3 {
+		t.Fatalf("%d are told", n)
+	}
+	before := map[string]bool{}
+	for i := range 10 {
+		_, b := h.told(fmt.Sprint("s", i))
+		before[fmt.Sprint("s", i)] = b == 2
+	}
+	h.wave(2, "testing", 0.1) // told back, and killed before they have fetched
+	h.start()
+	h.wave(2, "testing", 0.3)
+	for i := range 10 {
+		s := fmt.Sprint("s", i)
+		if _, b := h.told(s); b == 2 && !before[s] {
+			t.Errorf("%s is told, while one that was told back may still act", s)
+		}
+	}
+	if _, _, counted := h.Count(); counted > 3 {
+		t.Errorf("%d may act on the package", counted)
+	}
+	h.wave(2, "recalled", 0)
+	if n := h.second(); n != 0 {
+		t.Errorf("%d are told a package that was taken back", n)
+	}
+	h.wave(1, "live", 1)
+	h.clock.Jump(-time.Hour) // a clock set back does not shorten what was issued
+	if _, b := h.told("s0"); b != 1 {
+		t.Errorf("build %d", b)
+	}
+}
+
+func TestReleasedOutlivesARestart(t *testing.T) {
+	h := newHouse(t)
+	h.wave(2, "live", 1)
+	h.wave(3, "testing", 0.1) // has no package: nobody is told, and 2 was released
+	h.start()
+	h.wave(2, "testing", 0) // late news
+	for i := range 10 {
+		if _, b := h.told(fmt.Sprint("s", i)); b != 2 && b != 1 {
+			t.Errorf("s%d is told %d", i, b)
+		}
+	}
+	if h.released != 2 {
+		t.Errorf("build %d is held for released", h.released)
+	}
+}
+
+func TestUnknownPackageIsNotTold(t *testing.T) {
+	h := newHouse(t)
+	h.wave(9, "testing", 1)
+	for i := range 10 {
+		if _, b := h.told(fmt.Sprint("s", i)); b != 1 {
+			t.Errorf("s%d is told %d", i, b)
+		}
+	}
+	was := h.image
+	h.image = func(path string) (*trust.Target, *trust.Refusal) {
+		sum := sha256.Sum256([]byte(path))
+		return &trust.Target{Path: path, Length: 5, Sum: sum}, nil
+	}
+	h.work() // looks again
+	n := 0
+	for i := range 10 {
+		if _, b := h.told(fmt.Sprint("s", i)); b == 9 {
+			n++
+		}
+	}
+	if n != 2 {
+		t.Errorf("%d are told once it is known", n)
+	}
+	h.image = was
+	if lines, err := h.Explain("s0"); err != nil || len(lines) < 4 {
+		t.Errorf("%v, %v", lines, err)
+	}
+	if _, err := h.Explain("nobody"); !errors.Is(err, ErrNoServer) {
+		t.Errorf("%v", err)
+	}
+}
+
+func TestKeys(t *testing.T) {
+	h := newHouse(t)
+	if err := h.Keys(h.chain, h.online[:1]); err == nil {
+		t.Error("too few online keys are taken")
+	}
+	if err := h.Keys(map[string][]byte{}, h.online); err == nil {
+		t.Error("no root is taken")
+	}
+	if _, b := h.told("s0"); b != 1 {
+		t.Error("what was in force does not stay")
+	}
+	if _, err := h.File("nobody", trust.File{Role: "timestamp"}); !errors.Is(err, ErrNoServer) {
+		t.Errorf("%v", err)
+	}
+	if _, err := h.File("s0", trust.File{Role: "snapshot", Version: 99}); !errors.Is(err, ErrNoFile) {
+		t.Errorf("%v", err)
+	}
+	if text, err := h.File("s0", trust.File{Role: "root", Version: 1}); err != nil || len(text) == 0 {
+		t.Errorf("%v", err)
+	}
+}
+
+func TestManyAtOnce(t *testing.T) {
+	h := newHouse(t)
+	var all sync.WaitGroup
+	for round := range 8 {
+		for i := range 10 {
+			all.Go(func() { h.told(fmt.Sprint("s", i)) })
+		}
+		all.Go(func() { h.wave(2, "testing", float64(round%4)/4) })
+		all.Go(func() { h.work() })
+	}
+	all.Wait()
+	h.wave(2, "testing", 0.5)
+	if n := h.second(); n > 5 {
+		t.Errorf("%d of ten are told at a half", n)
+	}
+}
--- /dev/null
+++ b/internal/keys/keys_test.go
@@ -0,0 +1,110 @@
+package keys
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func phrase(s string) func() ([]byte, error) { return func() ([]byte, error) { return []byte(s), nil } }
+
+func TestSaveAndLoad(t *testing.T) {
+	for _, kind := range []string{"ed25519", "ecdsa"} {
+		for _, word := range []string{"", "long enough"} {
+			t.Run(kind+" "+word, func(t *testing.T) {
+				path := filepath.Join(t.TempDir(), "a.key")
+				k, err := Generate(kind)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if err := k.Save(path, []byte(word)); err != nil {
+					t.Fatal(err)
+				}
+				if info, _ := os.Stat(path); info.Mode().Perm() != 0o600 {
+					t.Errorf("mode %o", info.Mode().Perm())
+				}
+				again, err := Load(path, phrase(word))
+				if err != nil || again.ID != k.ID {
+					t.Fatalf("%v", err)
+				}
+				if _, id, err := Public(path); err != nil || id != k.ID {
+					t.Errorf("public part: %q, %v", id, err)
+				}
+				if err := k.Save(path, nil); !errors.Is(err, ErrExists) {
+					t.Errorf("a key was overwritten: %v", err)
+				}
+				if word != "" {
+					if _, err := Load(path, phrase("another")); !errors.Is(err, ErrPhrase) || strings.Contains(err.Error(), "another") {
+						t.Errorf("%v", err)
+					}
+					if _, err := Load(path, nil); !errors.Is(err, ErrNone) {
+						t.Errorf("%v", err)
+					}
+				}
+			})
+		}
+	}
+	if _, err := Generate("rsa"); err == nil {
+		t.Error("a type that is not offered is made")
+	}
+}
+
+func TestRefusedFiles(t *testing.T) {
+	dir := t.TempDir()
+	k, _ := Generate("ed25519")
+	path := filepath.Join(dir, "a.key")
+	if err := k.Save(path, nil); err != nil {
+		t.Fatal(err)
+	}
+	text, _ := os.ReadFile(path)
+	for _, c := range []struct {
+		name, text string
+		mode       os.FileMode
+		want       error
+	}{
+		{"others may read it", string(text), 0o640, ErrMode},
+		{"another form", strings.Replace(string(text), "key-1", "key-2", 1), 0o600, ErrForm},
+		{"another's identifier", strings.Replace(string(text), k.ID, strings.Repeat("0", 64), 1), 0o600, ErrForm},
+		{"cut", string(text[:len(text)/2]), 0o600, ErrForm}, {"empty", "", 0o600, ErrForm},
+		{"a huge cost", strings.Replace(string(text), `"encrypted": false`, `"encrypted": true, "n": 1073741824, "r": 8, "p": 1`, 1),
+			0o600, ErrForm},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			bad := filepath.Join(t.TempDir(), "b.key")
+			if err := os.WriteFile(bad, []byte(c.text), c.mode); err != nil {
+				t.Fatal(err)
+			}
+			os.Chmod(bad, c.mode)
+			_, err := Load(bad, phrase("long enough"))
+			if !errors.Is(err, c.want) {
+				t.Errorf("%v, wanted %v", err, c.want)
+			}
+			if all, err := List(filepath.Dir(bad)); err != nil || len(all) != 1 || c.want == ErrMode && all[0].Fault == "" {
+				t.Errorf("%+v, %v", all, err)
+			}
+		})
+	}
+	if s := k.String(); strings.Contains(s, string(text)) || len(s) > 40 {
+		t.Errorf("it says %q", s)
+	}
+}
+
+func TestPhrases(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "phrase")
+	os.WriteFile(path, []byte("from a file\n"), 0o600)
+	env := map[string]string{"COVE_PASSPHRASE": "from the environment"}
+	get := PhraseFrom(func(name string) string { return env[name] })
+	if p, err := get(); string(p) != "from the environment" || err != nil {
+		t.Errorf("%q, %v", p, err)
+	}
+	env["COVE_PASSPHRASE_FILE"] = path
+	if p, err := get(); string(p) != "from a file" || err != nil {
+		t.Errorf("%q, %v", p, err)
+	}
+	os.Chmod(path, 0o644)
+	if _, err := get(); !errors.Is(err, ErrMode) {
+		t.Errorf("%v", err)
+	}
+}
--- /dev/null
+++ b/internal/lab/metadata.go
@@ -0,0 +1,512 @@
+package lab
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"silvercove/internal/floor"
+	"silvercove/internal/keys"
+	"silvercove/internal/repo"
+	"silvercove/internal/service"
+	"silvercove/internal/standin/repository"
+	"silvercove/internal/trust"
+)
+
+// Metadata is what the measurement of the metadata front is run with.
+type Metadata struct {
+	Servers []int         // sizes of the fleet
+	Asks    int           // requests of each kind for a size
+	Width   int           // connections at once
+	Entries int           // of the floor
+	Poll    time.Duration // between two questions of a server
+	Out     string        // folder for the plot, "" for none
+}
+
+// Run measures and prints.
+func (m Metadata) Run(ctx context.Context, to io.Writer) error {
+	fmt.Fprintf(to, "Stand-in repositories, mirrors and servers on loopback; %d cores, %s.\n\n", runtime.NumCPU(),
+		runtime.Version())
+	rates := &Table{Title: "Requests through the front", Head: []string{"servers", "what", "requests", "a second", "p50",
+		"p99", "not 200"}}
+	told := &Table{Title: "From a cap lowered from 35% to 10% to the last server having been told", Head: []string{"servers",
+		"told back", "issued", "last told", "p50"}}
+	var held, through, last Series
+	held.Name, through.Name, last.Name = "timestamp, held, p99", "package of 10 kB, p99", "last server told back"
+	for _, n := range m.Servers {
+		w, err := m.world(n)
+		if err != nil {
+			return err
+		}
+		for _, what := range []struct {
+			name, path string
+			into       *Series
+		}{{"timestamp, held", "/r/image/metadata/timestamp.json", &held}, {"package of 10 kB, by mirrors",
+			"/r/image/targets/app/1.tar", &through}} {
+			rate, h, bad, err := m.load(ctx, w, n, what.path)
+			if err != nil {
+				w.close()
+				return err
+			}
+			rates.Add(n, what.name, h.TotalCount(), rate, h.at(50), h.at(99), bad)
+			what.into.X = append(what.into.X, float64(n))
+			what.into.Y = append(what.into.Y, float64(h.at(99))/1e6)
+		}
+		count, issued, h, err := m.lowered(ctx, w, n)
+		w.close()
+		if err != nil {
+			return err
+		}
+		told.Add(n, count, issued, h.at(100), h.at(50))
+		last.X, last.Y = append(last.X, float64(n)), append(last.Y, float64(h.at(100))/1e6)
+	}
+	rates.Print(to)
+	told.Print(to)
+	if err := m.verification(to); err != nil {
+		return err
+	}
+	if err := m.floor(to); err != nil {
+		return err
+	}
+	if m.Out == "" {
+		return nil
+	}
+	path := filepath.Join(m.Out, "metadata.svg")
+	fmt.Fprintf(to, "plot: %s\n", path)
+	return Plot(path, "Metadata front (stand-ins)", "servers", "milliseconds", held, through, last)
+}
+
+// world is a front with mirrors and a fleet.
+type world struct {
+	dir    string
+	front  *service.Metadata
+	clock  *repository.Clock
+	stop   func()
+	key    *keys.Key
+	wave   string
+	write  func() error
+	dirKey *repository.Keeper
+}
+
+func (w *world) close() {
+	if w.stop != nil {
+		w.stop()
+	}
+	os.RemoveAll(w.dir)
+}
+
+func (m Metadata) world(n int) (w *world, err error) {
+	w = &world{clock: repository.NewClock(true), wave: "wave 2 testing 35%"}
+	if w.dir, err = os.MkdirTemp("", "lab"); err != nil {
+		return nil, err
+	}
+	defer func() {
+		if err != nil {
+			w.close()
+		}
+	}()
+	image, err := repository.NewKeeper(filepath.Join(w.dir, "image"), w.clock, repo.Life{}, true)
+	if err != nil {
+		return nil, err
+	}
+	for b := uint16(1); b <= 2; b++ {
+		body := make([]byte, 10_000)
+		body[0] = byte(b)
+		if err := image.Add(fmt.Sprintf("app/%d.tar", b), b, body); err != nil {
+			return nil, err
+		}
+	}
+	if w.dirKey, err = repository.NewKeeper(filepath.Join(w.dir, "director"), w.clock, repo.Life{}, true); err != nil {
+		return nil, err
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "metadata {\n listen 127.0.0.1:0\n floor floor\n waiting 20000\n connections 20000\n"+
+		" repository image {\n  root root.json\n")
+	if err := os.WriteFile(filepath.Join(w.dir, "root.json"), image.Root(1), 0o600); err != nil {
+		return nil, err
+	}
+	var mirrors []*repository.Mirror
+	for i := range 4 {
+		mirror, err := repository.NewMirror(fmt.Sprint("m", i), image, nil)
+		if err != nil {
+			return nil, err
+		}
+		mirrors = append(mirrors, mirror)
+		fmt.Fprintf(&b, "  mirror m%d %s z up\n", i, mirror.Address())
+	}
+	b.WriteString(" }\n director {\n  image image\n  chain director\n  lasts 10m\n  running 1\n" +
+		"  package 1 app/1.tar\n  package 2 app/2.tar\n")
+	for _, role := range []string{"targets", "snapshot", "timestamp"} {
+		for i, k := range w.dirKey.Keys[role] {
+			name := fmt.Sprintf("%s%d.key", role, i)
+			if err := k.Save(filepath.Join(w.dir, name), nil); err != nil {
+				return nil, err
+			}
+			b.WriteString("  key " + name + "\n")
+		}
+	}
+	if w.key, err = keys.Generate("ed25519"); err != nil {
+		return nil, err
+	}
+	if err := w.key.Save(filepath.Join(w.dir, "server.key"), nil); err != nil {
+		return nil, err
+	}
+	for i := range n {
+		fmt.Fprintf(&b, "  server s%d z%d large server.pub\n", i, i%3)
+	}
+	text := b.String()
+	w.write = func() error {
+		return os.WriteFile(filepath.Join(w.dir, "cove.conf"), []byte(text+"  "+w.wave+"\n }\n}\n"), 0o600)
+	}
+	if err := w.write(); err != nil {
+		return nil, err
+	}
+	w.front, err = service.New(filepath.Join(w.dir, "cove.conf"), func(string) string { return "" }, w.clock.Now,
+		zerolog.Nop())
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		w.front.Run(ctx)
+	}()
+	w.stop = func() {
+		cancel()
+		<-ended
+		for _, mirror := range mirrors {
+			mirror.Close()
+		}
+	}
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		resp, err := http.Get("http://" + w.front.Address() + "/r/image/metadata/timestamp.json")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == 200 {
+				return w, nil
+			}
+		}
+		if time.Now().After(end) {
+			return nil, fmt.Errorf("the front has nothing current within 20 s")
+		}
+	}
+}
+
+// load asks for a path as n servers would, each in turn, over so many connections.
+func (m Metadata) load(ctx context.Context, w *world, n int, path string) (rate float64, h latencies, bad int64, err error) {
+	width := min(m.Width, n)
+	way := &http.Transport{MaxIdleConnsPerHost: width, MaxConnsPerHost: width}
+	defer way.CloseIdleConnections()
+	h = newLatencies()
+	var mu sync.Mutex
+	var next, wrong atomic.Int64
+	var all sync.WaitGroup
+	url := "http://" + w.front.Address() + path
+	began := time.Now()
+	for range width {
+		all.Go(func() {
+			for next.Add(1) <= int64(m.Asks) && ctx.Err() == nil {
+				at := time.Now()
+				status := ask(way, url)
+				took := time.Since(at)
+				if status != 200 {
+					wrong.Add(1)
+				}
+				mu.Lock()
+				h.add(took)
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	return float64(h.TotalCount()) / time.Since(began).Seconds(), h, wrong.Load(), ctx.Err()
+}
+
+func ask(way http.RoundTripper, url string) int {
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return 0
+	}
+	resp, err := way.RoundTrip(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// lowered has all servers poll, lowers the cap, and takes how long each of those told back waits until it has
+// fetched metadata that name the earlier package.
+func (m Metadata) lowered(ctx context.Context, w *world, n int) (count int, issued int64, h latencies, err error) {
+	way := &http.Transport{MaxIdleConnsPerHost: m.Width, MaxConnsPerHost: m.Width}
+	defer way.CloseIdleConnections()
+	// Servers that are told the package say that they run it, so that the next are told.
+	var mu sync.Mutex
+	has := make([]uint16, n)
+	front := "http://" + w.front.Address()
+	counter := int64(0)
+	round := func(report bool) error {
+		var all sync.WaitGroup
+		limit := make(chan struct{}, m.Width)
+		counter++
+		for i := range n {
+			limit <- struct{}{}
+			all.Go(func() {
+				defer func() { <-limit }()
+				b := told(way, front, i)
+				mu.Lock()
+				changed := has[i] != b
+				has[i] = b
+				mu.Unlock()
+				if changed && report && b != 0 {
+					text, err := trust.SignReport(trust.Report{Server: fmt.Sprint("s", i), Hardware: "large", Counter: counter,
+						Running: fmt.Sprintf("app/%d.tar", b), Build: b, Installed: "ok", Tried: fmt.Sprintf("app/%d.tar", b)},
+						w.key.Private)
+					if err == nil {
+						post(way, fmt.Sprintf("%s/director/s%d/manifest", front, i), text)
+					}
+				}
+			})
+		}
+		all.Wait()
+		return ctx.Err()
+	}
+	second := func() (k int) {
+		for _, b := range has {
+			if b == 2 {
+				k++
+			}
+		}
+		return k
+	}
+	want := int(0.35 * float64(n))
+	for end := time.Now().Add(2 * time.Minute); second() < want; {
+		if err := round(true); err != nil {
+			return 0, 0, h, err
+		}
+		if time.Now().After(end) {
+			return 0, 0, h, fmt.Errorf("%d of %d servers told after two minutes", second(), want)
+		}
+	}
+	before := w.front.Director().IssuedCount()
+	h = newLatencies()
+	w.wave = "wave 2 testing 10%"
+	if err := w.write(); err != nil {
+		return 0, 0, h, err
+	}
+	began := time.Now()
+	if err := w.front.Reload(); err != nil {
+		return 0, 0, h, err
+	}
+	var all sync.WaitGroup
+	for i := range n {
+		if has[i] != 2 {
+			continue
+		}
+		all.Go(func() { // each polls at its own moment, until the end of the time that is given
+			wait := time.Duration(i%97) * m.Poll / 97
+			for time.Since(began) < 20*m.Poll+5*time.Second && ctx.Err() == nil {
+				time.Sleep(wait)
+				if told(way, front, i) == 1 {
+					mu.Lock()
+					h.add(time.Since(began))
+					count++
+					mu.Unlock()
+					return
+				}
+				if _, told, _ := w.front.Director().Count(); told <= n/10 && time.Since(began) > 3*m.Poll+time.Second {
+					return // it keeps the package
+				}
+				wait = m.Poll
+			}
+		})
+	}
+	all.Wait()
+	if gone := second() - n/10; count < gone {
+		return count, 0, h, fmt.Errorf("%d servers were told back, %d should have been", count, gone)
+	}
+	return count, w.front.Director().IssuedCount() - before, h, ctx.Err()
+}
+
+// told asks what a server is told now, without verifying it.
+func told(way http.RoundTripper, front string, i int) uint16 {
+	var stamp struct {
+		Signed struct {
+			Version int64
+		}
+	}
+	base := fmt.Sprintf("%s/director/s%d/metadata/", front, i)
+	if fetch(way, base+"timestamp.json", &stamp) != 200 {
+		return 0
+	}
+	var targets struct {
+		Signed struct {
+			Targets map[string]struct{ Custom trust.Custom }
+		}
+	}
+	if fetch(way, fmt.Sprintf("%s%d.targets.json", base, stamp.Signed.Version), &targets) != 200 {
+		return 0
+	}
+	for _, t := range targets.Signed.Targets {
+		return t.Custom.Build
+	}
+	return 0
+}
+
+func fetch(way http.RoundTripper, url string, into any) int {
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return 0
+	}
+	resp, err := way.RoundTrip(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	if json.NewDecoder(resp.Body).Decode(into) != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+func post(way http.RoundTripper, url string, text []byte) {
+	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(string(text)))
+	if err != nil {
+		return
+	}
+	if resp, err := way.RoundTrip(req); err == nil {
+		io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+	}
+}
+
+// verification compares taking a set anew with passing it on from what is held.
+func (m Metadata) verification(to io.Writer) error {
+	dir, err := os.MkdirTemp("", "lab")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	clock := repository.NewClock(false)
+	k, err := repository.NewKeeper(dir, clock, repo.Life{}, true)
+	if err != nil {
+		return err
+	}
+	if err := k.Add("app/1.tar", 1, make([]byte, 10_000)); err != nil {
+		return err
+	}
+	set := k.At(k.Len() - 1)
+	now := trust.Of(clock.Now())
+	const rounds = 200
+	began := time.Now()
+	var r *trust.Repository
+	for range rounds {
+		if r, err = trust.New("image", floor.InMemory(1000, func(string) {}), now, k.Root(1)); err != nil {
+			return err
+		}
+		for f, _, ok := r.Wanted(now); ok; f, _, ok = r.Wanted(now) {
+			var refusal *trust.Refusal
+			switch text := set.Files[f.String()]; f.Role {
+			case "timestamp":
+				refusal = r.Timestamp(now, text)
+			case "snapshot":
+				refusal = r.Snapshot(now, text)
+			default:
+				refusal = r.Targets(now, f.Role, text)
+			}
+			if refusal != nil {
+				return refusal
+			}
+		}
+	}
+	anew := time.Since(began) / rounds
+	const passes = 100_000
+	began = time.Now()
+	for range passes {
+		if _, refusal := r.Current(now, trust.File{Role: "timestamp"}); refusal != nil {
+			return refusal
+		}
+	}
+	t := &Table{Title: "Cost of verification", Head: []string{"what", "each"}}
+	t.Add("a whole set anew: root, timestamp, snapshot, targets", anew)
+	t.Add("a timestamp that is held, with all that it hangs on", time.Since(began)/passes)
+	t.Print(to)
+	return nil
+}
+
+// floor takes memory and recovery time with many server reports.
+func (m Metadata) floor(to io.Writer) error {
+	dir, err := os.MkdirTemp("", "lab")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	path := filepath.Join(dir, "floor")
+	before := live()
+	f, err := floor.Open([]string{path}, m.Entries+1, func(string) {})
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	const width = 512
+	var all sync.WaitGroup
+	var next atomic.Int64
+	var failed atomic.Int64
+	for range width {
+		all.Go(func() {
+			for i := next.Add(1); i <= int64(m.Entries); i = next.Add(1) {
+				if f.Raise(fmt.Sprintf("report/server-%07d", i), i, sha256.Sum256([]byte{byte(i)})) != nil {
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	all.Wait()
+	wrote := time.Since(began)
+	if failed.Load() > 0 {
+		return fmt.Errorf("floor: %d reports were not taken", failed.Load())
+	}
+	used, synced := live()-before, f.Synced
+	if err := f.Close(); err != nil {
+		return err
+	}
+	info, err := os.Stat(path)
+	if err != nil {
+		return err
+	}
+	began = time.Now()
+	if f, err = floor.Open([]string{path}, m.Entries+1, func(string) {}); err != nil {
+		return err
+	}
+	took := time.Since(began)
+	defer f.Close()
+	t := &Table{Title: "The floor", Head: []string{"entries", "memory", "file", "taken a second", "syncs", "recovery"}}
+	t.Add(f.Len(), fmt.Sprintf("%d MB", used>>20), fmt.Sprintf("%d MB", info.Size()>>20),
+		float64(m.Entries)/wrote.Seconds(), synced, took)
+	t.Print(to)
+	return nil
+}
+
+// live is what the heap holds after a collection.
+func live() uint64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc
+}
--- /dev/null
+++ b/internal/repo/repo_test.go
@@ -0,0 +1,235 @@
+package repo_test
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/theupdateframework/go-tuf/v2/metadata"
+
+	"silvercove/internal/floor"
+	"silvercove/internal/keys"
+	"silvercove/internal/repo"
+	"silvercove/internal/standin/repository"
+	"silvercove/internal/trust"
+)
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func keeper(t *testing.T, consistent bool) *repository.Keeper {
+	t.Helper()
+	k, err := repository.NewKeeper(filepath.Join(t.TempDir(), "r"), repository.NewClock(false), repo.Life{}, consistent)
+	must(t, err)
+	t.Cleanup(func() { k.Repo.Close() })
+	return k
+}
+
+// walk takes everything that is published, as a client would.
+func walk(t *testing.T, k *repository.Keeper, path string) (*trust.Target, error) {
+	t.Helper()
+	now := trust.Of(k.Clock.Now())
+	files, _, err := repo.Files(k.Dir)
+	must(t, err)
+	r, err := trust.New("r", floor.InMemory(100, func(string) {}), now, files["1.root.json"])
+	must(t, err)
+	for files[trust.File{Role: "root", Version: r.Next()}.String()] != nil {
+		if refusal := r.Root(now, files[trust.File{Role: "root", Version: r.Next()}.String()]); refusal != nil {
+			return nil, refusal
+		}
+	}
+	for f, _, ok := r.Wanted(now); ok; f, _, ok = r.Wanted(now) {
+		var refusal *trust.Refusal
+		switch text := files[f.String()]; f.Role {
+		case "timestamp":
+			refusal = r.Timestamp(now, text)
+		case "snapshot":
+			refusal = r.Snapshot(now, text)
+		default:
+			refusal = r.Targets(now, f.Role, text)
+		}
+		if refusal != nil {
+			return nil, refusal
+		}
+	}
+	for {
+		found, need, refusal := r.Find(now, path)
+		if refusal != nil {
+			return nil, refusal
+		}
+		if need == "" {
+			return found, nil
+		}
+		f, _, refusal := r.Role(now, need)
+		if refusal != nil {
+			return nil, refusal
+		}
+		if refusal := r.Targets(now, need, files[f.String()]); refusal != nil {
+			return nil, refusal
+		}
+	}
+}
+
+func TestPublish(t *testing.T) {
+	for _, consistent := range []bool{true, false} {
+		k := keeper(t, consistent)
+		must(t, k.Add("app/1.tar", 1, []byte("one"), "large"))
+		must(t, k.Add("app/2.tar", 2, make([]byte, repo.PieceSize+1)))
+		found, err := walk(t, k, "app/2.tar")
+		must(t, err)
+		if found.Length != repo.PieceSize+1 || found.Custom.Build != 2 || len(found.Custom.Pieces) != 2 {
+			t.Errorf("%+v", found)
+		}
+		must(t, k.Repo.Remove("targets", "app/1.tar"))
+		must(t, k.Publish("targets"))
+		if _, err := walk(t, k, "app/1.tar"); err == nil {
+			t.Error("a removed target is vouched for")
+		}
+	}
+}
+
+func TestThresholdsAndKeys(t *testing.T) {
+	k := keeper(t, true)
+	must(t, k.Stage("a", 1, []byte("x")))
+	if err := k.Repo.Publish(k.Keys["snapshot"]); !errors.Is(err, repo.ErrUnsigned) {
+		t.Errorf("unsigned targets: %v", err)
+	}
+	must(t, k.Repo.Sign("targets", k.Keys["targets"][0]))
+	must(t, k.Repo.Sign("targets", k.Keys["targets"][0])) // twice by one is once
+	if err := k.Publish(); !errors.Is(err, repo.ErrUnsigned) {
+		t.Errorf("one of two signatures: %v", err)
+	}
+	if err := k.Repo.Sign("targets", k.Keys["snapshot"][0]); !errors.Is(err, repo.ErrKey) {
+		t.Errorf("another role's key: %v", err)
+	}
+	must(t, k.Repo.Sign("targets", k.Keys["targets"][2]))
+	if err := k.Repo.Publish(nil); !errors.Is(err, repo.ErrUnsigned) {
+		t.Errorf("without online keys: %v", err)
+	}
+	must(t, k.Publish())
+	if err := k.Repo.Sign("targets", k.Keys["targets"][0]); !errors.Is(err, repo.ErrNotStaged) {
+		t.Errorf("nothing staged: %v", err)
+	}
+	for _, bad := range []string{"../a", "/a", "a/../b", "", `a\b`, "."} {
+		if err := k.Repo.Add("targets", filepath.Join(k.Dir, "incoming"), bad, 1, nil); err == nil {
+			t.Errorf("path %q is taken", bad)
+		}
+	}
+	if _, err := repo.Open(t.TempDir()); !errors.Is(err, repo.ErrNone) {
+		t.Errorf("%v", err)
+	}
+	if _, err := repo.Open(k.Dir); !errors.Is(err, floor.ErrInUse) {
+		t.Errorf("two at once: %v", err)
+	}
+	if _, err := repo.Init(k.Dir, nil, true, repo.Lives); !errors.Is(err, repo.ErrExists) {
+		t.Errorf("%v", err)
+	}
+}
+
+func TestRotation(t *testing.T) {
+	k := keeper(t, true)
+	must(t, k.Add("a", 1, []byte("x")))
+	for _, role := range []string{"timestamp", "snapshot", "targets", "root", "root"} {
+		must(t, k.Rotate(role))
+		if _, err := walk(t, k, "a"); err != nil {
+			t.Errorf("after new keys for %s: %v", role, err)
+		}
+	}
+	if err := k.Repo.Rotate("targets", nil, []string{"nothing"}, 0); !errors.Is(err, repo.ErrKey) {
+		t.Errorf("%v", err)
+	}
+	if err := k.Repo.Rotate("targets", nil, nil, 9); err == nil {
+		t.Error("a threshold of nine of three is taken")
+	}
+	fresh, err := keys.Generate("ed25519")
+	must(t, err)
+	must(t, k.Repo.Rotate("root", []*metadata.Key{fresh.Public}, nil, 0))
+	must(t, k.Repo.Sign("root", fresh))
+	if err := k.Publish(); !errors.Is(err, repo.ErrUnsigned) {
+		t.Errorf("a root that the old keys have not signed: %v", err)
+	}
+}
+
+func TestDelegation(t *testing.T) {
+	k := keeper(t, true)
+	one, err := keys.Generate("ecdsa")
+	must(t, err)
+	must(t, k.Repo.Delegate("targets", "teams", []*metadata.Key{one.Public}, 1, []string{"teams/*"}, true))
+	file := filepath.Join(k.Dir, "f")
+	must(t, os.WriteFile(file, []byte("team's"), 0o600))
+	must(t, k.Repo.Add("teams", file, "teams/a", 3, nil))
+	must(t, k.Repo.Sign("teams", one))
+	must(t, k.Publish("targets"))
+	found, err := walk(t, k, "teams/a")
+	must(t, err)
+	if found.Role != "teams" || found.Custom.Build != 3 {
+		t.Errorf("%+v", found)
+	}
+	if err := k.Repo.Delegate("targets", "root", []*metadata.Key{one.Public}, 1, []string{"x"}, false); err == nil {
+		t.Error("a delegation to root is taken")
+	}
+	all, err := k.Repo.Show()
+	must(t, err)
+	if len(all) < 6 {
+		t.Errorf("%+v", all)
+	}
+}
+
+// TestKilledBetweenSigningAndPublishing: at each step of publishing the program dies; no version number is ever
+// seen with two contents, and after the next publishing all is in order.
+func TestKilledBetweenSigningAndPublishing(t *testing.T) {
+	for _, step := range []string{"root", "targets", "snapshot", "timestamp"} {
+		t.Run("before "+step, func(t *testing.T) {
+			k := keeper(t, true)
+			must(t, k.Add("a", 1, []byte("x")))
+			seen := map[string]string{}
+			note := func() {
+				files, _, err := repo.Files(k.Dir)
+				must(t, err)
+				for name, text := range files {
+					var m struct{ Signed json.RawMessage }
+					must(t, json.Unmarshal(text, &m))
+					var v struct{ Version int64 }
+					must(t, json.Unmarshal(m.Signed, &v))
+					key := trust.File{Role: strings.TrimSuffix(name, ".json"), Version: v.Version}.String()
+					if was, ok := seen[key]; ok && was != string(m.Signed) {
+						t.Errorf("%s was given to two contents", key)
+					}
+					seen[key] = string(m.Signed)
+				}
+			}
+			note()
+			must(t, k.Repo.Renew("root"))
+			must(t, k.Sign("root"))
+			must(t, k.Stage("b", 2, []byte("y")))
+			must(t, k.Sign("targets"))
+			k.Repo.Halted = func(at string) bool { return at == step }
+			if err := k.Publish(); err == nil {
+				t.Fatal("it was not halted")
+			}
+			note()
+			must(t, k.Repo.Close()) // and starts again
+			again, err := repo.Open(k.Dir)
+			must(t, err)
+			again.Now = k.Clock.Now
+			k.Repo = again
+			k.Clock.Jump(time.Minute)
+			if _, err := walk(t, k, "a"); err != nil {
+				t.Errorf("half-way: %v", err)
+			}
+			must(t, k.Publish())
+			note()
+			if _, err := walk(t, k, "b"); err != nil {
+				t.Errorf("afterwards: %v", err)
+			}
+		})
+	}
+}
--- a/internal/service/helpers_test.go
+++ b/internal/service/helpers_test.go
@@ -243,3 +243,16 @@
 	w.Helper()
 	w.must(os.WriteFile(filepath.Join(w.dir, name), b, 0o600))
 }
+
+// rename puts new keys of a role in the place of the old.
+func rename(dir, role string, n int) error {
+	for i := range n {
+		to := filepath.Join(dir, fmt.Sprintf("%s%d", role, i))
+		for _, suffix := range []string{".key", ".pub"} {
+			if err := os.Rename(to+"-new"+suffix, to+suffix); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -503,3 +503,93 @@
 		})
 	}
 }
+
+// TestCarriedDirectorMustAgree: a repository that is named a Director's is passed on only where the other agrees.
+func TestCarriedDirectorMustAgree(t *testing.T) {
+	w := newWorld(t, 2, repo.Life{})
+	w.must(w.keeper.Add("app/1.tar", 1, content(1000, 1)))
+	w.must(w.other.Add("app/1.tar", 1, content(1000, 1)))
+	m, err := repository.NewMirror("d0", w.other, nil)
+	w.must(err)
+	t.Cleanup(m.Close)
+	w.write("other.json", w.other.Root(1))
+	w.extra = "  repository told {\n    root other.json\n    mirror d0 " + m.Address() + " z up\n    agree image\n  }\n"
+	w.start()
+	targets := func() int {
+		v := w.front.Carrier.Status().Repositories[1].Targets
+		fetch(t, http.DefaultTransport, w.url()+"/r/told/metadata/timestamp.json", "")
+		status, _, _ := fetch(t, http.DefaultTransport, w.url()+fmt.Sprintf("/r/told/metadata/%d.targets.json", v), "")
+		return status
+	}
+	w.until("they agree", func() bool { return targets() == 200 })
+	for _, c := range []struct {
+		name string
+		add  func() error
+		want int
+	}{
+		{"a hash", func() error { return w.other.Add("app/1.tar", 1, content(1000, 2)) }, 503},
+		{"a length", func() error { return w.other.Add("app/1.tar", 1, content(999, 1)) }, 503},
+		{"a version", func() error { return w.other.Add("app/1.tar", 2, content(1000, 1)) }, 503},
+		{"nothing", func() error { return w.other.Add("app/1.tar", 1, content(1000, 1)) }, 200},
+		{"a path", func() error { return w.other.Add("app/2.tar", 2, content(10, 1)) }, 503},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w.must(c.add())
+			w.until("the newest is held", func() bool {
+				targets()
+				return w.front.Carrier.Status().Repositories[1].Timestamp == w.other.Version("timestamp")
+			})
+			if got := targets(); got != c.want {
+				t.Errorf("status %d, wanted %d", got, c.want)
+			}
+		})
+	}
+}
+
+// TestReload: a refused file leaves what was in force, and names the fault.
+func TestReload(t *testing.T) {
+	w := newWorld(t, 2, repo.Life{})
+	w.must(w.keeper.Add("app/1.tar", 1, content(10, 1)))
+	w.server("s1", "z", "large")
+	w.start()
+	w.until("it is current", func() bool { return w.current("c") == nil })
+	good := w.read("cove.conf")
+	for _, c := range []struct{ name, old, put, want string }{
+		{"a fault", "refresh", "refrsh", "unknown"}, {"a directive that can't change", "refresh 100ms", "refresh 50ms", "restart"},
+		{"another repository", "repository image", "repository images", "no repository"},
+		{"a key that is not there", "timestamp0.key", "nowhere.key", "no such file"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w.write("cove.conf", []byte(strings.Replace(string(good), c.old, c.put, 1)))
+			if err := w.front.Reload(); err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("%v", err)
+			}
+			if err := w.current("c"); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	w.write("cove.conf", good)
+	w.must(w.front.Reload())
+}
+
+// TestDirectorsKeysChangeInService: servers that are mid-exchange begin again and go on.
+func TestDirectorsKeysChangeInService(t *testing.T) {
+	w := newWorld(t, 2, repo.Life{})
+	w.must(w.keeper.Add("app/1.tar", 1, content(10, 1)))
+	w.server("s1", "z", "large")
+	w.start()
+	s := w.picture("s1", "large")
+	w.until("s1 runs package 1", func() bool { return s.Step() == nil && s.Build == 1 })
+	for _, role := range []string{"timestamp", "targets", "snapshot"} {
+		w.must(w.dirRepo.Rotate(role))
+		for i, k := range w.dirRepo.Keys[role] {
+			k.Save(w.dir+fmt.Sprintf("/%s%d-new.key", role, i), nil)
+		}
+		w.must(rename(w.dir, role, len(w.dirRepo.Keys[role])))
+		w.dirs.Reset()
+		w.reload()
+		w.until("it updates by the new keys", func() bool { return s.Step() == nil })
+	}
+	w.clean()
+}
--- a/internal/standin/repository/server.go
+++ b/internal/standin/repository/server.go
@@ -202,6 +202,9 @@
 	counter int64
 }
 
+// Count has reports count on from a number.
+func (s *Server) Count(from int64) { s.counter = from }
+
 // fetcher is the way of the public library to the front.
 type fetcher struct{ http.RoundTripper }
 
--- /dev/null
+++ b/internal/trust/trust_test.go
@@ -0,0 +1,605 @@
+package trust_test
+
+import (
+	"bytes"
+	"crypto"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/theupdateframework/go-tuf/v2/metadata"
+	"pgregory.net/rapid"
+
+	"silvercove/internal/keys"
+	"silvercove/internal/trust"
+)
+
+func TestRoots(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		make func(b *bench) []byte
+		want any
+	}{
+		{"the next", func(b *bench) []byte { return b.root(2, 365*day) }, nil},
+		{"the same again", func(b *bench) []byte { return b.root(1, 365*day) }, trust.Same},
+		{"the same version, other content", func(b *bench) []byte { return b.root(1, 364*day) }, trust.Older},
+		{"one left out", func(b *bench) []byte { return b.root(3, 365*day) }, trust.Mixed},
+		{"other keys, not signed by the old", func(b *bench) []byte {
+			b.keys["root"] = []*keys.Key{b.key(), b.key()}
+			return b.root(2, 365*day)
+		}, trust.Foreign},
+		{"other keys, signed by one of two old", func(b *bench) []byte {
+			old := b.keys["root"]
+			b.keys["root"] = []*keys.Key{b.key(), b.key()}
+			return b.root(2, 365*day, old[0])
+		}, trust.UnderThreshold},
+		{"other keys, signed by both", func(b *bench) []byte {
+			old := b.keys["root"]
+			b.keys["root"] = []*keys.Key{b.key(), b.key()}
+			return b.root(2, 365*day, old...)
+		}, nil},
+		{"a signature that does not fit", func(b *bench) []byte {
+			text := b.root(2, 365*day)
+			at := bytes.Index(text, []byte(`"sig":"`)) + 7
+			text[at] ^= 1
+			return text
+		}, trust.WronglySigned},
+		{"a role without keys", func(b *bench) []byte {
+			b.keys["snapshot"] = nil
+			return b.root(2, 365*day)
+		}, trust.Malformed},
+		{"no JSON", func(b *bench) []byte { return []byte("{") }, trust.Malformed},
+		{"too long", func(b *bench) []byte { return make([]byte, trust.MostRoot+1) }, trust.Overlong},
+		{"a timestamp", func(b *bench) []byte { return b.timestamp(2, day, 1, nil) }, trust.Malformed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			b.want(c.want, b.repo.Root(at(0), c.make(b)))
+			wanted := int64(1)
+			if c.want == nil {
+				wanted = 2
+			}
+			if v := b.repo.Version("root"); v != wanted {
+				t.Errorf("root %d is held", v)
+			}
+		})
+	}
+}
+
+func TestTimestamps(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		make func(b *bench) []byte
+		want any
+	}{
+		{"newer", func(b *bench) []byte { return b.timestamp(6, day, 6, nil) }, nil},
+		{"the same again", func(b *bench) []byte { return b.timestamp(5, day, 5, nil) }, trust.Same},
+		{"the same version, other content", func(b *bench) []byte { return b.timestamp(5, 2*day, 5, nil) }, trust.Conflict},
+		{"older", func(b *bench) []byte { return b.timestamp(4, day, 5, nil) }, trust.Older},
+		{"newer, but with an older snapshot", func(b *bench) []byte { return b.timestamp(6, day, 4, nil) }, trust.Older},
+		{"expired", func(b *bench) []byte { return b.timestamp(6, 0, 6, nil) }, trust.Expired},
+		{"of another repository", func(b *bench) []byte { return b.timestamp(6, day, 6, nil, b.keys["extra"]...) }, trust.Foreign},
+		{"version 0", func(b *bench) []byte { return b.timestamp(0, day, 6, nil) }, trust.Malformed},
+		{"without a snapshot", func(b *bench) []byte {
+			m := metadata.Timestamp(start.Add(day))
+			m.Signed.Version, m.Signed.Meta = 6, nil
+			return sign(b, m, b.keys["timestamp"]...)
+		}, trust.Malformed},
+		{"a member twice", func(b *bench) []byte {
+			return bytes.Replace(b.timestamp(6, day, 6, nil), []byte(`"version":6}`), []byte(`"version":6,"version":6}`), 1)
+		}, trust.Malformed},
+		{"a member that only case parts from another", func(b *bench) []byte {
+			text := b.timestamp(6, day, 6, nil)
+			return bytes.Replace(text, []byte(`"signed":{`), []byte(`"signed":{"Version":9,`), 1)
+		}, trust.WronglySigned},
+		{"the same behind it", func(b *bench) []byte {
+			return bytes.Replace(b.timestamp(6, day, 6, nil), []byte(`"version":6}`), []byte(`"version":6,"Version":9}`), 1)
+		}, trust.Malformed},
+		{"a second signed part", func(b *bench) []byte {
+			text := b.timestamp(6, day, 6, nil)
+			return append(text[:len(text)-1], []byte(`,"Signed":{"_type":"timestamp","version":9}}`)...)
+		}, trust.Malformed},
+		{"bytes behind its end", func(b *bench) []byte { return append(b.timestamp(6, day, 6, nil), "{}"...) }, trust.Malformed},
+		{"too long", func(b *bench) []byte { return bytes.Repeat([]byte(" "), trust.MostTimestamp+1) }, trust.Overlong},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			b.set(5)
+			b.want(c.want, b.repo.Timestamp(at(0), c.make(b)))
+			if c.want != nil && b.repo.Version("timestamp") != 5 {
+				t.Error("it is held")
+			}
+		})
+	}
+}
+
+func TestSnapshotsAndTargets(t *testing.T) {
+	two := map[string]int64{"targets": 5, "extra": 3}
+	for _, c := range []struct {
+		name string
+		run  func(b *bench) *trust.Refusal
+		want any
+	}{
+		{"another hash than the timestamp says", func(b *bench) *trust.Refusal {
+			b.want(nil, b.repo.Timestamp(at(0), b.timestamp(6, day, 6, []byte("x"))))
+			return b.repo.Snapshot(at(0), b.snapshot(6, day, two))
+		}, trust.Mismatch},
+		{"another version than the timestamp says", func(b *bench) *trust.Refusal {
+			b.want(nil, b.repo.Timestamp(at(0), b.timestamp(6, day, 6, nil)))
+			return b.repo.Snapshot(at(0), b.snapshot(7, day, two))
+		}, trust.Mixed},
+		{"a file less", func(b *bench) *trust.Refusal {
+			b.want(nil, b.repo.Timestamp(at(0), b.timestamp(6, day, 6, nil)))
+			return b.repo.Snapshot(at(0), b.snapshot(6, day, map[string]int64{"targets": 5}))
+		}, trust.Older},
+		{"a file gone back", func(b *bench) *trust.Refusal {
+			b.want(nil, b.repo.Timestamp(at(0), b.timestamp(6, day, 6, nil)))
+			return b.repo.Snapshot(at(0), b.snapshot(6, day, map[string]int64{"targets": 5, "extra": 2}))
+		}, trust.Older},
+		{"expired", func(b *bench) *trust.Refusal {
+			b.want(nil, b.repo.Timestamp(at(0), b.timestamp(6, day, 6, nil)))
+			return b.repo.Snapshot(at(0), b.snapshot(6, -day, two))
+		}, trust.Expired},
+		{"after the timestamp expired", func(b *bench) *trust.Refusal {
+			b.want(nil, b.repo.Timestamp(at(0), b.timestamp(6, time.Hour, 6, nil)))
+			return b.repo.Snapshot(at(time.Hour), b.snapshot(6, day, two))
+		}, trust.Expired},
+		{"targets of another version", func(b *bench) *trust.Refusal {
+			return b.repo.Targets(at(0), "targets", b.targets(6, day, nil))
+		}, trust.Mixed},
+		{"targets that the snapshot does not name", func(b *bench) *trust.Refusal {
+			return b.repo.Targets(at(0), "other", b.targets(1, day, nil))
+		}, trust.Unnamed},
+		{"targets that nothing delegates to", func(b *bench) *trust.Refusal {
+			return b.repo.Targets(at(0), "extra", b.targets(3, day, nil))
+		}, trust.Missing},
+		{"targets without a hash", func(b *bench) *trust.Refusal {
+			return b.repo.Targets(at(0), "targets", b.targets(5, day, func(m *metadata.TargetsType) {
+				m.Targets["a"] = metadata.TargetFile()
+			}))
+		}, trust.Malformed},
+		{"expired targets", func(b *bench) *trust.Refusal {
+			b.want(nil, b.repo.Timestamp(at(0), b.timestamp(6, day, 6, nil)))
+			b.want(nil, b.repo.Snapshot(at(0), b.snapshot(6, day, map[string]int64{"targets": 6, "extra": 3})))
+			return b.repo.Targets(at(0), "targets", b.targets(6, 0, nil))
+		}, trust.Expired},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			b.want(nil, b.repo.Timestamp(at(0), b.timestamp(5, day, 5, nil)))
+			b.want(nil, b.repo.Snapshot(at(0), b.snapshot(5, 7*day, two)))
+			b.want(nil, b.repo.Targets(at(0), "targets", b.targets(5, 30*day, nil)))
+			b.want(c.want, c.run(b))
+		})
+	}
+}
+
+func TestNewKeysLetVersionsCountAnew(t *testing.T) {
+	b := newBench(t)
+	b.set(1000) // a stolen key signed far ahead
+	old := b.keys["timestamp"][0]
+	b.keys["timestamp"] = []*keys.Key{b.key()}
+	b.want(nil, b.repo.Root(at(0), b.root(2, 365*day)))
+	if _, refusal := b.repo.Current(at(0), trust.File{Role: "timestamp"}); refusal == nil {
+		t.Error("what the old key signed is passed on")
+	}
+	b.want(trust.Foreign, b.repo.Timestamp(at(0), b.timestamp(1001, day, 1001, nil, old)))
+	b.set(3)
+	if _, refusal := b.repo.Current(at(0), trust.File{Role: "timestamp"}); refusal != nil {
+		t.Error(refusal)
+	}
+}
+
+func TestRevokedTargetsKeyCountsNoMore(t *testing.T) {
+	b := newBench(t)
+	b.set(5)
+	b.keys["targets"] = []*keys.Key{b.key()}
+	b.want(nil, b.repo.Root(at(0), b.root(2, 365*day)))
+	if _, refusal := b.repo.Current(at(0), trust.File{Role: "targets", Version: 5}); refusal == nil {
+		t.Error("targets of a revoked key are passed on")
+	}
+}
+
+func TestNothingIsHeldThatCannotBeKept(t *testing.T) {
+	b := newBench(t)
+	b.set(5)
+	b.host.fails = true
+	b.want(trust.Unkept, b.repo.Timestamp(at(0), b.timestamp(6, day, 6, nil)))
+	if _, refusal := b.repo.Current(at(0), trust.File{Role: "timestamp"}); refusal != nil {
+		t.Error(refusal)
+	}
+	b.want(trust.Unkept, b.repo.Root(at(0), b.root(2, 365*day)))
+	b.host.fails = false
+	b.want(nil, b.repo.Timestamp(at(0), b.timestamp(6, day, 6, nil)))
+}
+
+func TestRestartKnowsWhatWasSeen(t *testing.T) {
+	b := newBench(t)
+	pinned := b.root(1, 365*day)
+	old := b.timestamp(4, day, 4, nil)
+	b.set(5)
+	b.want(nil, b.repo.Root(at(0), b.root(2, 364*day)))
+	b.open(pinned)
+	b.want(trust.Missing, b.repo.Timestamp(at(0), b.timestamp(6, day, 6, nil))) // root 2 was seen
+	b.want(nil, b.repo.Root(at(0), b.root(2, 364*day)))
+	b.want(trust.Older, b.repo.Timestamp(at(0), old))
+	b.want(nil, b.repo.Timestamp(at(0), b.timestamp(5, day, 5, nil)))
+	b.want(trust.Older, b.repo.Timestamp(at(0), old))
+	b.open(pinned)
+	b.want(trust.Conflict, b.repo.Root(at(0), b.root(2, 363*day)))
+}
+
+func TestClocks(t *testing.T) {
+	b := newBench(t)
+	b.set(5)
+	whole := []trust.File{{Role: "timestamp"}, {Role: "snapshot", Version: 5}, {Role: "targets", Version: 5}}
+	for _, c := range []struct {
+		at   time.Duration
+		fine bool
+	}{{0, true}, {day - 1, true}, {day, false}, {0, false}, {-1000 * day, false}} {
+		for _, f := range whole {
+			if _, refusal := b.repo.Current(at(c.at), f); (refusal == nil) != c.fine {
+				t.Errorf("%v at %v: %v", f, c.at, refusal)
+			}
+		}
+	}
+	b.open(b.root(1, 365*day)) // also after a restart with the clock set back
+	b.want(trust.Expired, b.repo.Timestamp(at(0), b.timestamp(5, day, 5, nil)))
+	b.want(trust.Expired, b.repo.Timestamp(trust.Tick(0), b.timestamp(5, day, 5, nil)))
+}
+
+func TestFilesThatMayBePassedOn(t *testing.T) {
+	b := newBench(t)
+	b.set(5)
+	b.want(nil, b.repo.Root(at(0), b.root(2, 365*day)))
+	for _, c := range []struct {
+		name string
+		want any
+	}{
+		{"1.root.json", nil}, {"2.root.json", nil}, {"root.json", nil}, {"3.root.json", trust.Missing},
+		{"timestamp.json", nil}, {"5.timestamp.json", trust.Unnamed},
+		{"5.snapshot.json", nil}, {"4.snapshot.json", trust.Older}, {"6.snapshot.json", trust.Missing},
+		{"snapshot.json", trust.Missing}, {"5.targets.json", nil}, {"4.targets.json", trust.Older},
+		{"1.other.json", trust.Unnamed},
+	} {
+		f, ok := trust.ParseFile(c.name)
+		if !ok || f.String() != c.name {
+			t.Errorf("%s reads as %v", c.name, f)
+		}
+		_, refusal := b.repo.Current(at(0), f)
+		b.want(c.want, refusal)
+	}
+	for _, name := range []string{"", ".json", "root", "01.root.json", "0.root.json", "1..json", "a%2fb.json", "%zz.json",
+		"99999999999999999999.root.json"} {
+		if f, ok := trust.ParseFile(name); ok {
+			t.Errorf("%q reads as %v", name, f)
+		}
+	}
+}
+
+// delegated makes targets that delegate in a stated order.
+func delegated(k *keys.Key, to ...metadata.DelegatedRole) func(m *metadata.TargetsType) {
+	return func(m *metadata.TargetsType) {
+		id, _ := k.Public.ID()
+		m.Delegations = &metadata.Delegations{Keys: map[string]*metadata.Key{id: k.Public}}
+		for _, d := range to {
+			d.KeyIDs, d.Threshold = []string{id}, 1
+			m.Delegations.Roles = append(m.Delegations.Roles, d)
+		}
+	}
+}
+
+func file(path string) func(m *metadata.TargetsType) {
+	return func(m *metadata.TargetsType) {
+		t := metadata.TargetFile()
+		sum := sha256.Sum256([]byte(path))
+		t.Length, t.Hashes["sha256"] = 1, sum[:]
+		m.Targets[path] = t
+	}
+}
+
+func TestDelegations(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		first metadata.DelegatedRole
+		path  string
+		by    string // who vouches, "" for nobody
+	}{
+		{"the first that matches", metadata.DelegatedRole{Name: "a", Paths: []string{"app/*"}}, "app/x", "a"},
+		{"one that does not match is passed over", metadata.DelegatedRole{Name: "a", Paths: []string{"lib/*"}}, "app/x", "b"},
+		{"one that matches and lacks it is passed over", metadata.DelegatedRole{Name: "a", Paths: []string{"app/*"}}, "app/y", "b"},
+		{"unless it is terminating", metadata.DelegatedRole{Name: "a", Paths: []string{"app/*"}, Terminating: true}, "app/y", ""},
+		{"a star does not cross a folder", metadata.DelegatedRole{Name: "a", Paths: []string{"*"}}, "app/x", "b"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			k := b.keys["extra"][0]
+			b.want(nil, b.repo.Timestamp(at(0), b.timestamp(1, day, 1, nil)))
+			b.want(nil, b.repo.Snapshot(at(0), b.snapshot(1, day, map[string]int64{"targets": 1, "a": 1, "b": 1})))
+			b.want(nil, b.repo.Targets(at(0), "targets", b.targets(1, day, delegated(k, c.first,
+				metadata.DelegatedRole{Name: "b", Paths: []string{"app/*"}}))))
+			for range 4 {
+				found, need, refusal := b.repo.Find(at(0), c.path)
+				switch {
+				case need == "a":
+					b.want(nil, b.repo.Targets(at(0), "a", b.targets(1, day, file("app/x"), k)))
+				case need == "b":
+					b.want(nil, b.repo.Targets(at(0), "b", b.targets(1, day, func(m *metadata.TargetsType) {
+						file("app/x")(m)
+						file("app/y")(m)
+					}, k)))
+				case c.by == "":
+					b.want(trust.Unnamed, refusal)
+					return
+				case found != nil && found.Role == c.by:
+					return
+				default:
+					t.Fatalf("%v %q %v", found, need, refusal)
+				}
+			}
+			t.Error("it does not end")
+		})
+	}
+	b := newBench(t)
+	b.want(nil, b.repo.Timestamp(at(0), b.timestamp(1, day, 1, nil)))
+	b.want(nil, b.repo.Snapshot(at(0), b.snapshot(1, day, map[string]int64{"targets": 1, "a": 1})))
+	loop := delegated(b.keys["extra"][0], metadata.DelegatedRole{Name: "a", Paths: []string{"*"}})
+	b.want(nil, b.repo.Targets(at(0), "targets", b.targets(1, day, loop)))
+	b.want(nil, b.repo.Targets(at(0), "a", b.targets(1, day, loop, b.keys["extra"][0])))
+	_, _, refusal := b.repo.Find(at(0), "x") // a delegates to itself
+	b.want(trust.Unnamed, refusal)
+}
+
+func TestBodies(t *testing.T) {
+	whole := bytes.Repeat([]byte("0123456789abcdef"), 10_000)
+	sum := sha256.Sum256(whole)
+	pieces := func(size int) (c trust.Custom) {
+		c.Piece = int64(size)
+		for at := 0; at < len(whole); at += size {
+			s := sha256.Sum256(whole[at:min(at+size, len(whole))])
+			c.Pieces = append(c.Pieces, hex.EncodeToString(s[:]))
+		}
+		return c
+	}
+	for _, c := range []struct {
+		name   string
+		custom trust.Custom
+		flip   int // byte that is wrong, -1 for none
+		most   int // bytes that may be passed on then
+		spoilt bool
+	}{
+		{"pieces, right", pieces(4096), -1, 0, false},
+		{"pieces, wrong in the third", pieces(4096), 9000, 8192, false},
+		{"no pieces, right", trust.Custom{}, -1, 0, false},
+		{"no pieces, wrong", trust.Custom{}, 9000, len(whole) - 1, true},
+		{"no pieces, wrong at the end", trust.Custom{}, len(whole) - 1, len(whole) - 1, true},
+		{"pieces that are no hashes of it count for none", trust.Custom{Piece: 4096, Pieces: []string{"x"}}, -1, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			body := b.repo.Open(&trust.Target{Path: "p", Length: int64(len(whole)), Sum: sum, Custom: c.custom})
+			sent := bytes.Clone(whole)
+			if c.flip >= 0 {
+				sent[c.flip] ^= 1
+			}
+			var got []byte
+			pass := func(p []byte) error { got = append(got, p...); return nil }
+			var err error
+			for at := 0; at < len(sent) && err == nil; at += 1000 {
+				err = body.Add(sent[at:min(at+1000, len(sent))], pass)
+			}
+			if c.flip < 0 {
+				if err != nil || !body.Done() || !bytes.Equal(got, whole) {
+					t.Errorf("%v, %d bytes", err, len(got))
+				}
+				return
+			}
+			if err == nil || len(got) > c.most || body.Spoilt() != c.spoilt || !bytes.Equal(got, sent[:len(got)]) {
+				t.Fatalf("%v, %d bytes passed on, spoilt %v", err, len(got), body.Spoilt())
+			}
+			if c.spoilt {
+				return
+			}
+			body.Resume() // another mirror goes on
+			if err := body.Add(whole[body.Next():], pass); err != nil || !bytes.Equal(got, whole) {
+				t.Errorf("%v, %d bytes", err, len(got))
+			}
+		})
+	}
+	b := newBench(t)
+	body := b.repo.Open(&trust.Target{Length: int64(len(whole)), Sum: sum})
+	if err := body.Add(append(whole, 'x'), func([]byte) error { return nil }); err == nil || !body.Spoilt() {
+		t.Error("endless data are not refused")
+	}
+}
+
+func TestReports(t *testing.T) {
+	b := newBench(t)
+	k, other := b.keys["extra"][0], b.keys["targets"][0]
+	fleet := trust.NewFleet(b.host, map[string]crypto.PublicKey{"s": k.Private.Public(), "u": other.Private.Public()})
+	make := func(server string, counter int64, by *keys.Key) []byte {
+		text, err := trust.SignReport(trust.Report{Server: server, Counter: counter, At: start}, by.Private)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return text
+	}
+	for _, c := range []struct {
+		name, as string
+		text     []byte
+		want     any
+	}{
+		{"the first", "s", make("s", 3, k), nil},
+		{"the same again", "s", make("s", 3, k), trust.Same},
+		{"an older", "s", make("s", 2, k), trust.Older},
+		{"another's", "u", make("s", 4, k), trust.Elsewhere},
+		{"signed by another", "s", make("s", 4, other), trust.WronglySigned},
+		{"a stranger's", "x", make("x", 1, k), trust.Foreign},
+		{"without a number", "s", make("s", 0, k), trust.Malformed},
+		{"no report", "s", []byte(`{"signed":{},"signatures":[]}`), trust.Malformed},
+		{"a member too many", "s", bytes.Replace(make("s", 5, k), []byte(`"counter"`), []byte(`"x":1,"counter"`), 1), trust.Malformed},
+		{"too long", "s", bytes.Repeat([]byte(" "), trust.MostReport+1), trust.Overlong},
+		{"the next", "s", make("s", 4, k), nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, refusal := fleet.Take(c.as, c.text)
+			(&bench{TB: t}).want(c.want, refusal)
+		})
+	}
+	b.host.fails = true
+	_, refusal := fleet.Take("s", make("s", 9, k))
+	b.want(trust.Unkept, refusal)
+}
+
+func TestPartialVerification(t *testing.T) {
+	b := newBench(t)
+	root, err := (&metadata.Metadata[metadata.RootType]{}).FromBytes(b.root(1, day))
+	if err != nil {
+		t.Fatal(err)
+	}
+	forServer := func(server string) func(m *metadata.TargetsType) {
+		return func(m *metadata.TargetsType) {
+			file("app")(m)
+			text, _ := json.Marshal(trust.Custom{ECUs: map[string]string{server: "large"}})
+			raw := json.RawMessage(text)
+			m.Targets["app"].Custom = &raw
+		}
+	}
+	for _, c := range []struct {
+		name string
+		text []byte
+		want any
+	}{
+		{"its own", b.targets(3, day, forServer("s")), nil},
+		{"older", b.targets(2, day, forServer("s")), trust.Older},
+		{"another's", b.targets(4, day, forServer("u")), trust.Elsewhere},
+		{"expired", b.targets(4, 0, forServer("s")), trust.Expired},
+		{"foreign", b.targets(4, day, forServer("s"), b.keys["extra"]...), trust.Foreign},
+		{"none", b.targets(4, day, nil), nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, refusal := trust.Partial(at(0), b.host, "d", root, c.text, "s")
+			(&bench{TB: t}).want(c.want, refusal)
+		})
+	}
+}
+
+// TestNeverBackUnderAnyOrder: whatever comes in whatever order, with clocks that jump and restarts, no file is
+// passed on that is older than one passed on before, or that had expired at any time seen so far.
+func TestNeverBackUnderAnyOrder(t *testing.T) {
+	b := newBench(t)
+	pinned := b.root(1, 365*day)
+	const most = 5
+	var stamps, snaps, targets [most + 1][]byte
+	ends := map[string]time.Duration{}
+	for v := int64(1); v <= most; v++ {
+		ends["timestamp"] = time.Duration(v) * time.Hour
+		stamps[v] = b.timestamp(v, time.Duration(v)*time.Hour, v, nil)
+		snaps[v] = b.snapshot(v, 2*time.Duration(v)*time.Hour, map[string]int64{"targets": v})
+		targets[v] = b.targets(v, 3*time.Duration(v)*time.Hour, nil)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		b.host = newMemory()
+		b.open(pinned)
+		given, latest := map[string]int64{}, trust.Tick(0)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now := at(time.Duration(rapid.IntRange(-60, 360).Draw(t, "minutes")) * time.Minute)
+			v := rapid.IntRange(1, most).Draw(t, "version")
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0:
+				b.repo.Timestamp(now, stamps[v])
+			case 1:
+				b.repo.Snapshot(now, snaps[v])
+			case 2:
+				b.repo.Targets(now, "targets", targets[v])
+			case 3:
+				b.repo.Beat(now)
+				b.open(pinned)
+			default:
+				b.repo.Beat(now)
+			}
+			latest = max(latest, now)
+			for role, life := range map[string]int{"timestamp": 1, "snapshot": 2, "targets": 3} {
+				f := trust.File{Role: role}
+				if role != "timestamp" {
+					f.Version = b.repo.Version(role)
+				}
+				text, refusal := b.repo.Current(now, f)
+				if refusal != nil {
+					continue
+				}
+				var m struct{ Signed struct{ Version int64 } }
+				json.Unmarshal(text, &m)
+				is := m.Signed.Version
+				if is < given[role] {
+					t.Fatalf("%s %d after %d", role, is, given[role])
+				}
+				given[role] = is
+				if end := at(time.Duration(is) * time.Duration(life) * time.Hour); latest >= end {
+					t.Fatalf("%s %d was passed on past its end", role, is)
+				}
+			}
+		}
+	})
+}
+
+// TestLibrary holds what the module relies on in the public library.
+func TestLibrary(t *testing.T) {
+	b := newBench(t)
+	text := b.timestamp(1, day, 1, nil)
+	spaced := bytes.Replace(text, []byte(`"signed":{`), []byte("\"signed\" : {\n "), 1)
+	b.want(nil, b.repo.Timestamp(at(0), spaced)) // signatures are over the canonical form
+	twice := bytes.Replace(b.timestamp(2, day, 2, nil), []byte(`"signatures":[`), []byte(`"signatures":[{"keyid":"`+
+		b.keys["timestamp"][0].ID+`","sig":"00"},`), 1)
+	b.want(trust.Malformed, b.repo.Timestamp(at(0), twice)) // one key can't sign twice
+	if _, err := trust.New("r", newMemory(), at(0), []byte(strings.Replace(string(b.root(1, day)), "root", "boot", 1))); err == nil {
+		t.Error("a root of another type is pinned")
+	}
+	var refusal *trust.Refusal
+	_, err := trust.New("r", newMemory(), at(0), b.timestamp(1, day, 1, nil))
+	if !errors.As(err, &refusal) || refusal.Why != trust.Malformed {
+		t.Errorf("%v", err)
+	}
+}
+
+func FuzzMetadata(f *testing.F) {
+	b := newBench(f)
+	f.Add(b.timestamp(1, day, 1, nil))
+	f.Add(b.root(2, day))
+	f.Add(b.targets(1, day, file("x")))
+	f.Add([]byte(`{"signed":{"_type":"targets","delegations":{"keys":{"a":null},"roles":[{}]}},"signatures":null}`))
+	pinned := b.root(1, day)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r, err := trust.New("r", newMemory(), at(0), pinned)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, refusal := range []*trust.Refusal{r.Root(at(0), data), r.Timestamp(at(0), data), r.Snapshot(at(0), data),
+			r.Targets(at(0), "targets", data)} {
+			if refusal == nil && !bytes.Contains(data, []byte(b.keys["root"][0].ID)) &&
+				!bytes.Contains(data, []byte(b.keys["timestamp"][0].ID)) {
+				t.Error("it is believed without a key's signature")
+			}
+		}
+		trust.NewFleet(newMemory(), map[string]crypto.PublicKey{"s": b.keys["extra"][0].Private.Public()}).Take("s", data)
+	})
+}
+
+func FuzzParseFile(f *testing.F) {
+	for _, s := range []string{"root.json", "1.root.json", "7.a%20b.json", "..json"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, name string) {
+		is, ok := trust.ParseFile(name)
+		if !ok {
+			return
+		}
+		if again, ok := trust.ParseFile(is.String()); !ok || again != is {
+			t.Errorf("%q is %v, which is %q", name, is, is.String())
+		}
+	})
+}
