--- /dev/null
+++ b/cmd/covectl/quickstart_test.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// free finds a port that nothing listens at.
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	_, port, _ := net.SplitHostPort(l.Addr().String())
+	return port
+}
+
+// block is the first shell block of a page.
+func block(t *testing.T, page string) string {
+	t.Helper()
+	text, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, ok := strings.Cut(string(text), "```sh\n")
+	script, _, closed := strings.Cut(rest, "```")
+	if !ok || !closed {
+		t.Fatalf("%s has no shell block", page)
+	}
+	return script
+}
+
+// TestQuickStart runs what the operators' page has to be pasted, at free ports and with binaries of its own.
+func TestQuickStart(t *testing.T) {
+	script := block(t, "../../docs/metadata.md")
+	bin := t.TempDir()
+	for _, port := range []string{"8600", "8701", "8702"} {
+		script = strings.ReplaceAll(script, "127.0.0.1:"+port, "127.0.0.1:"+free(t))
+	}
+	script = strings.NewReplacer("go build -o bin/", "go build -o "+bin+"/", "$PWD/bin", bin).Replace(script)
+	cmd := exec.Command("bash", "-c", script)
+	cmd.Dir, _ = filepath.Abs("../..")
+	cmd.Env = append(os.Environ(), "TMPDIR="+t.TempDir())
+	out, err := cmd.CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	for _, want := range []string{"s1 runs build 1, app/1.tar", "s1 runs build 2, app/2.tar", "s1 is told app/2.tar, build 2",
+		"vouched for by targets", "Build 1 is released."} {
+		if !strings.Contains(string(out), want) {
+			t.Errorf("it does not say %q\n%s", want, out)
+		}
+	}
+}
+
+func TestLoopbackOnly(t *testing.T) {
+	for address, fine := range map[string]bool{"127.0.0.1:1": true, "[::1]:1": true, "10.0.0.1:1": false, "localhost:1": false,
+		"0.0.0.0:1": false, "x": false} {
+		if err := loopback(address); (err == nil) != fine {
+			t.Errorf("%s: %v", address, err)
+		}
+	}
+	if err := full(fmt.Errorf("other")); err.Error() != "other" {
+		t.Error(err)
+	}
+}
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -251,10 +251,7 @@
 			d.servers[h.Name] = s
 		}
 		s.Zone, s.Kind = h.Zone, h.Kind
-		here := h.State != "removed"
-		if fresh && here {
-			d.waves.Add(now, &s.Server)
-		} else if !fresh {
+		if here := h.State != "removed"; here || !fresh {
 			d.waves.Listed(now, &s.Server, here)
 		}
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -45,11 +45,19 @@
 	director *director.Director
 	Carrier  *carrier.Carrier
 	room     *link.Room
+	public   map[string]publicFile // by path
 	watches  []func(ctx context.Context) error
 	mu       sync.Mutex
 	listener net.Listener
 }
 
+// publicFile is a public key as it was read from a file.
+type publicFile struct {
+	key  crypto.PublicKey
+	at   time.Time
+	size int64
+}
+
 // floors is what both kinds of floor do.
 type floors interface {
 	trust.Host
@@ -294,16 +302,31 @@
 func (m *Metadata) servers(d map[string]any) (map[string]crypto.PublicKey, error) {
 	out := map[string]crypto.PublicKey{}
 	lines, _ := d["server"].([]any)
+	read := map[string]publicFile{}
 	for _, v := range lines {
 		l := v.([]any)
-		k, _, err := keys.Public(m.file(l[3]))
+		path := m.file(l[3])
+		info, err := os.Stat(path)
 		if err != nil {
 			return nil, fmt.Errorf("server %s: %w", l[0], err)
 		}
-		if out[l[0].(string)], err = k.ToPublicKey(); err != nil {
-			return nil, fmt.Errorf("server %s: %w", l[0], err)
+		is, known := read[path]
+		if was := m.public[path]; !known && was.at.Equal(info.ModTime()) && was.size == info.Size() {
+			is, known = was, true // thousands of files take long to read, and a cap may wait for it
+		}
+		if !known {
+			k, _, err := keys.Public(path)
+			if err != nil {
+				return nil, fmt.Errorf("server %s: %w", l[0], err)
+			}
+			if is.key, err = k.ToPublicKey(); err != nil {
+				return nil, fmt.Errorf("server %s: %w", l[0], err)
+			}
+			is.at, is.size = info.ModTime(), info.Size()
 		}
+		read[path], out[l[0].(string)] = is, is.key
 	}
+	m.public = read
 	return out, nil
 }
 
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -426,6 +426,7 @@
 	w := newWorld(t, 4, repo.Life{})
 	w.must(w.keeper.Add("app/1.tar", 1, content(50_000, 1)))
 	w.start()
+	w.until("it is current", func() bool { return w.current("c") == nil })
 	way := &http.Transport{MaxIdleConnsPerHost: 256, MaxConnsPerHost: 256}
 	t.Cleanup(way.CloseIdleConnections)
 	checked := w.checker.Transport("all", "/r/image", way)
--- a/internal/waves/waves.go
+++ b/internal/waves/waves.go
@@ -60,6 +60,7 @@
 type Server struct {
 	Name, Zone, Kind string
 
+	kept    bool // among the servers of the module
 	listed  bool
 	told    uint16  // the build that its newest metadata name
 	base    uint16  // the released build that it goes back to
@@ -101,14 +102,14 @@
 // metadata that name that. Before the first Stage and Listed only.
 func (w *Waves) Restore(now Tick, s *Server, told uint16, holds Tick) {
 	s.told, s.base, s.holds, s.since = told, w.earlier, holds, now
-	w.servers = append(w.servers, s)
+	w.servers, s.kept = append(w.servers, s), true
 	w.sorted = false
 }
 
 // Listed takes that a server is in the fleet, or no longer. Settled ends a piece of such news.
 func (w *Waves) Listed(now Tick, s *Server, here bool) {
-	if !slices.Contains(w.servers, s) {
-		w.servers = append(w.servers, s)
+	if !s.kept {
+		w.servers, s.kept = append(w.servers, s), true
 		s.told, s.base = w.earlier, w.earlier
 	}
 	if s.listed != here {
@@ -116,13 +117,6 @@
 	}
 }
 
-// Add is Listed for a server that is known to be new: many come at once when a fleet starts.
-func (w *Waves) Add(now Tick, s *Server) {
-	w.servers = append(w.servers, s)
-	s.listed, w.sorted = true, false
-	s.told, s.base = w.earlier, w.earlier
-}
-
 // Settled takes the end of news of the list. A server that is gone is told the earlier build, should it
 // come back unlisted, and forgotten once it can't hold anything else.
 func (w *Waves) Settled(now Tick) {
@@ -131,10 +125,18 @@
 			w.back(now, s)
 		}
 	}
-	w.servers = slices.DeleteFunc(w.servers, func(s *Server) bool { return !s.listed && now >= s.holds })
+	w.forget(now)
 	w.settle(now)
 }
 
+// forget drops servers that are gone and can't act on anything any more.
+func (w *Waves) forget(now Tick) {
+	w.servers = slices.DeleteFunc(w.servers, func(s *Server) bool {
+		s.kept = s.listed || now < s.holds
+		return !s.kept
+	})
+}
+
 // Stage takes news of the newest package: the build before it, where it stands, and the share of the fleet
 // that may be told of it. kinds are those that it fits; none: all.
 func (w *Waves) Stage(now Tick, build, earlier uint16, phase Phase, share float64, kinds []string) {
@@ -235,7 +237,7 @@
 			w.failed(now, s)
 		}
 	}
-	w.servers = slices.DeleteFunc(w.servers, func(s *Server) bool { return !s.listed && now >= s.holds })
+	w.forget(now)
 	w.settle(now)
 }
 
--- a/internal/waves/waves_test.go
+++ b/internal/waves/waves_test.go
@@ -31,7 +31,7 @@
 	for i := range n {
 		s := &Server{Name: fmt.Sprint("s", i), Zone: fmt.Sprint("z", i%3), Kind: []string{"large", "small"}[i%2]}
 		f.servers = append(f.servers, s)
-		f.Add(0, s)
+		f.Listed(0, s, true)
 	}
 	f.Settled(0)
 	return f
@@ -263,7 +263,7 @@
 	f.Stop(3)
 	f.Stage(4, 2, 1, OnTrial, 0.1, nil)
 	f.servers = append(f.servers, &Server{Name: "late"})
-	f.Add(4, f.servers[100])
+	f.Listed(4, f.servers[100], true)
 	for _, s := range f.servers[:20] {
 		f.Listed(4, s, false)
 	}
