--- a/choice/choice.go
+++ b/choice/choice.go
@@ -30,6 +30,8 @@
 	mostTests   = 32   // open at once in one stream
 	leastSample = 20   // outcomes in a stage before a vote to go on
 	moreSample  = 60   // while more of them are slow than the edge
+	effect      = 0.2  // failures beyond the earlier build's that a vote to go on is to rule out
+	missed      = 0.05 // the chance with which it may fail to, for one op type at one relay
 	leastTimed  = 6    // outcomes of the build before a timed vote to go on, if few relays share the sample
 	voteAfter   = 3 * Second
 	drawnOut    = 3    // times the middle time before the trial is slow
@@ -392,6 +394,7 @@
 			r.see(1+broke, y, r.share(broke)+demoted)
 		}
 		j.sample.add(op, x, kept)
+		j.rule(op, x, r.share(op), effect)
 		j.inStage++
 		r.note(op, x)
 		r.see(0, x, r.edge(-1, op))
@@ -451,7 +454,11 @@
 	switch {
 	case r.num("rollout.found_share") == 0:
 	case build == j.build:
-		j.sample.add(last, x, keptFlags)
+		if j.sample.add(last, x, keptFlags); x > 0 {
+			j.rule(last, x, r.share(last), effect*r.num("rollout.found_share"))
+		} else if r.span("rollout.report_within") > 0 { // its flag may be on its way
+			j.answers = keep(j.answers, r.now, keptFlags)
+		}
 		r.note(last, x)
 		r.see(1+last, x, r.edge(last, last))
 	case build < j.build:
@@ -648,7 +655,7 @@
 	}
 	ops := len(r.opTypes)
 	r.tell = make([]byte, 2*ops+2)
-	r.judged = &trial{build: build, sample: newSample(ops), streams: make([]stream, ops+4),
+	r.judged = &trial{build: build, sample: newSample(ops), streams: make([]stream, ops+4), out: slices.Repeat([]float64{1}, ops+1),
 		before: r.share(ops + 1), middle: slices.Clone(r.middle), acked: float64(len(r.acks)),
 		whole: max(1, r.whole), places: float64(len(r.units) - r.running(build))}
 	for i := range r.judged.streams {
@@ -702,12 +709,43 @@
 		return NoVote
 	case clocked:
 		return Hold
-	case !wary && (j.inStage >= need || timed):
+	case !wary && r.short() < 0 && (j.inStage >= need || timed):
 		return GoOn
+	case !wary && timed && r.now-r.since >= r.span("rollout.evidence_wait"):
+		return GoOn // by the clock, with its smaller promise
 	}
 	return NoVote
 }
 
+// rule bets against a failure share of the effect above the earlier build's: a likelihood ratio, which
+// at any such share or a higher one is a supermartingale. Once it reaches 1/missed that is ruled out for good.
+func (j *trial) rule(which int, x, b, effect float64) {
+	b = min(b, 0.95-effect)
+	if j.out[which] < 1/missed {
+		j.out[which] *= x*b/(b+effect) + (1-x)*(1-b)/(1-b-effect)
+	}
+}
+
+// short is the first op type that has traffic and is not ruled out to be bad, or the flags; -1 for none.
+// Answers count for these once a flag would have come.
+func (r *Relay) short() int {
+	j, last := r.judged, len(r.opTypes)
+	for n := 0; len(j.answers) > 0 && n < keptFlags && j.answers[0]+r.span("rollout.report_within") <= r.now; n++ {
+		j.answers = j.answers[1:]
+		j.rule(last, 0, r.share(last), effect*r.num("rollout.found_share"))
+	}
+	for which, wealth := range j.out {
+		matters := which < last && len(r.took[which]) > 0
+		if which == last {
+			matters = r.span("rollout.report_within") > 0 && r.num("rollout.found_share") > 0
+		}
+		if matters && wealth < 1/missed {
+			return which
+		}
+	}
+	return -1
+}
+
 // stage is where the newest build stands: as told, or as far as the list shows more units of it than the
 // told stage has, or a vote back found stages passed. Guards against late news: a vote on a stage that has
 // passed does not count. Where units of the build start anew under other names, votes may come too early.
@@ -753,7 +791,11 @@
 	case drawn:
 		v.state, v.at = cast, r.now+r.span("rollout.vote_wait")+Second
 		if want == GoOn {
-			r.say(fmt.Sprintf("vote 1 on build %d stage %d: %d outcomes", v.build, v.stage, r.judged.inStage))
+			by := "" // what it leaves open
+			if open := r.short(); open >= 0 {
+				by = ", by the clock: not ruled out for " + streamName(1+open, len(r.opTypes))
+			}
+			r.say(fmt.Sprintf("vote 1 on build %d stage %d: %d outcomes%s", v.build, v.stage, r.judged.inStage, by))
 		} else {
 			r.host.Log(fmt.Sprintf("vote %d on build %d stage %d: %s", want, v.build, v.stage, r.judged.alarm))
 		}
--- a/choice/help.go
+++ b/choice/help.go
@@ -186,6 +186,7 @@
 		for i := range n {
 			x := float64((i+1)*bad/n - i*bad/n)
 			if which < ops {
+				r.judged.rule(which, x, r.share(which), effect)
 				r.see(0, x, r.edge(-1, which))
 			}
 			r.see(1+which, x, r.edge(which, which))
--- a/choice/host.go
+++ b/choice/host.go
@@ -215,15 +215,17 @@
 type trial struct {
 	build   uint16
 	sample  *sample
-	streams []stream // all outcomes, one an op type, wrong answers
-	inStage int      // outcomes in the stage
-	stage   int      // that they were counted in
-	past    int      // votes back found the stages before it passed
-	places  float64  // units of earlier builds when this one came
-	whole   float64  // units in use then, by warmth
-	acked   float64  // in the last seconds when this one came
-	before  float64  // the earlier build's failure share when this one came
-	middle  []Tick   // and the middle time of each op type's deliveries
+	streams []stream  // all outcomes, one an op type, wrong answers
+	out     []float64 // wealth against the effect, by op type, then for flags
+	answers []Tick    // whose flags may be on their way
+	inStage int       // outcomes in the stage
+	stage   int       // that they were counted in
+	past    int       // votes back found the stages before it passed
+	places  float64   // units of earlier builds when this one came
+	whole   float64   // units in use then, by warmth
+	acked   float64   // in the last seconds when this one came
+	before  float64   // the earlier build's failure share when this one came
+	middle  []Tick    // and the middle time of each op type's deliveries
 	alarm   string
 }
 
--- /dev/null
+++ b/cmd/covectl/rollouts.go
@@ -0,0 +1,179 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"golang.org/x/term"
+
+	"silvercove/internal/lab"
+)
+
+type labRunCmd struct {
+	File     string `arg:"" type:"existingfile" help:"The experiment's file."`
+	Out      string `required:"" help:"File for the results, lines of JSON."`
+	Rollouts int    `help:"Of each package under each condition, in place of the file's number."`
+}
+
+// Run runs an experiment.
+func (c *labRunCmd) Run() error {
+	e, err := lab.ReadExperiment(c.File, "")
+	if err != nil {
+		return err
+	}
+	if c.Rollouts > 0 {
+		e.Rollouts = c.Rollouts
+	}
+	all, err := runTo(e, c.Out)
+	if err != nil {
+		return err
+	}
+	lab.Print(os.Stdout, all, e.FalseAlarms, e.Misses)
+	return nil
+}
+
+// runTo runs an experiment with progress on a terminal, and writes the results.
+func runTo(e lab.Experiment, path string) ([]lab.Result, error) {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	out, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	defer out.Close()
+	began, seen := time.Now(), time.Now()
+	terminal := term.IsTerminal(int(os.Stderr.Fd()))
+	all, err := e.Run(ctx, out, func(done, of int) {
+		if terminal && (done == of || time.Since(seen) > 100*time.Millisecond) {
+			seen = time.Now()
+			fmt.Fprintf(os.Stderr, "\r%d of %d rollouts, %s ", done, of, lab.Elapsed(began))
+		}
+	})
+	if terminal {
+		fmt.Fprintln(os.Stderr)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return all, full(out.Close())
+}
+
+type labSweepCmd struct {
+	File   string   `arg:"" type:"existingfile" help:"The experiment's file."`
+	Name   string   `arg:"" help:"Directive that is swept, with one value, such as rate."`
+	Values []string `arg:"" help:"Its values."`
+	Out    string   `required:"" type:"existingdir" help:"Folder for the results, a file for each value."`
+}
+
+// Run runs an experiment once for each value.
+func (c *labSweepCmd) Run() error {
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	for _, v := range c.Values {
+		var b strings.Builder
+		lines := bufio.NewScanner(bytes.NewReader(text))
+		for lines.Scan() {
+			if f := strings.Fields(lines.Text()); len(f) == 0 || f[0] != c.Name {
+				b.WriteString(lines.Text() + "\n")
+			}
+		}
+		e, err := lab.ReadExperiment(c.File, b.String()+c.Name+" "+v+"\n")
+		if err != nil {
+			return err
+		}
+		all, err := runTo(e, filepath.Join(c.Out, c.Name+"-"+strings.Trim(v, "%")+".jsonl"))
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%s %s\n", c.Name, v)
+		lab.Print(os.Stdout, all, e.FalseAlarms, e.Misses)
+	}
+	return nil
+}
+
+type labCompareCmd struct {
+	A string `arg:"" type:"existingfile" help:"Results."`
+	B string `arg:"" type:"existingfile" help:"Other results."`
+}
+
+// Run sets two results side by side.
+func (c *labCompareCmd) Run() error {
+	a, err := resultsOf(c.A)
+	if err != nil {
+		return err
+	}
+	b, err := resultsOf(c.B)
+	if err != nil {
+		return err
+	}
+	return lab.Compare(os.Stdout, filepath.Base(c.A), filepath.Base(c.B), a, b)
+}
+
+func resultsOf(path string) ([]lab.Result, error) {
+	in, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer in.Close()
+	all, err := lab.ReadResults(in)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if len(all) == 0 {
+		return nil, fmt.Errorf("%s: no results", path)
+	}
+	return all, nil
+}
+
+type labReportCmd struct {
+	Results     string  `arg:"" type:"existingfile" help:"Results of lab run."`
+	HTML        string  `help:"File for the page with plots."`
+	Text        string  `help:"File for the plain text; without both it goes to the terminal."`
+	Title       string  `default:"Simulated rollouts" help:"Title of the page."`
+	FalseAlarms float64 `default:"0.05" help:"Declared rate of false alarms."`
+	Misses      float64 `default:"0.05" help:"Declared rate of misses."`
+}
+
+// Run writes the report.
+func (c *labReportCmd) Run() error {
+	all, err := resultsOf(c.Results)
+	if err != nil {
+		return err
+	}
+	if c.HTML != "" {
+		if err := to(c.HTML, func(w io.Writer) error { return lab.HTML(w, c.Title, all, c.FalseAlarms, c.Misses) }); err != nil {
+			return err
+		}
+	}
+	print := func(w io.Writer) error { lab.Print(w, all, c.FalseAlarms, c.Misses); return nil }
+	if c.Text != "" {
+		return to(c.Text, print)
+	}
+	if c.HTML == "" {
+		return print(os.Stdout)
+	}
+	return nil
+}
+
+// to writes a file.
+func to(path string, write func(io.Writer) error) error {
+	out, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if err := write(out); err != nil {
+		out.Close()
+		return full(err)
+	}
+	return full(out.Close())
+}
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -23,12 +23,13 @@
 	Address             // host:port, the host an address or a name
 	Path                // a file or folder
 	Choice              // one of a list
+	Figure              // any number of 0 or more
 	Many                // one word or more; only as the last value
 )
 
 var kinds = [...]string{"a word", "a name of letters, digits, '.', '-' and '_'", "a whole number",
 	"a duration such as 250ms, 10s, 5m, 2h or 7d", "a size such as 512, 64K, 16M or 1G",
-	"a share such as 0.1 or 10%", "HOST:PORT", "a path", "one of a list", "one word or more"}
+	"a share such as 0.1 or 10%", "HOST:PORT", "a path", "one of a list", "a number of 0 or more", "one word or more"}
 
 var (
 	spans = map[string]float64{"ms": 0.001, "s": 1, "m": 60, "h": 3600, "d": 86400}
@@ -303,6 +304,9 @@
 	case Number:
 		f, ok = number(s, map[string]float64{"": 1})
 		ok = ok && f == math.Trunc(f)
+	case Figure:
+		f, ok = number(s, map[string]float64{"": 1})
+		ok = ok && f >= 0
 	case Span:
 		f, ok = number(s, spans)
 	case Size:
--- /dev/null
+++ b/internal/lab/model.go
@@ -0,0 +1,575 @@
+package lab
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"silvercove/choice"
+)
+
+// Op is one op type of an experiment.
+type Op struct {
+	Name    string
+	Share   float64 // of the commands
+	Repeats string
+}
+
+// Wave is one stage of a rollout.
+type Wave struct{ Part, Cap float64 }
+
+// Package is one kind of package that is rolled out.
+type Package struct {
+	Name   string
+	Bad    bool               // whether it is to be taken back
+	Errors map[string]float64 // share of failures by op type beyond the base; "all" for each
+	Wrong  float64            // share of answers that are wrong
+	Slow   float64            // times the usual time
+	After  float64            // seconds from a unit's start until it shows
+}
+
+// Condition is what goes on beside a rollout.
+type Condition struct {
+	Name             string
+	Late             float64 // seconds by which flags of wrong answers come late, in the middle
+	Lost             float64 // share of them that never come
+	Burst, From, For float64 // times the usual traffic, from and for so many seconds
+	Blind            float64 // share of the relays that hear of nothing but their own outcomes, late
+	Restart          float64 // seconds between two restarts of relays, one after the other; 0: none
+	Clump            float64 // share of a package's failures that are at one unit of each six
+	Garbage          int     // relays whose every tenth outcome reads as an error, at any build
+	BaseFails        float64 // failures of the earlier package beyond the usual
+	SlowZone         float64 // times the usual time in one zone
+}
+
+// Rollout is one simulated rollout. Its figures are the lab's own.
+type Rollout struct {
+	Relays, Units, Zones int
+	Rate                 float64 // commands a second at all relays together
+	Ops                  []Op
+	Waves                []Wave
+	Bake                 float64 // seconds that each wave lasts at the least
+	Base                 float64 // share of failures of the earlier package
+	Found                float64 // share of wrong answers that are found
+	Watch                float64 // seconds after the release
+	Longest              float64 // seconds after which it is given up
+	EvidenceWait         float64 // seconds that a wave waits for evidence on op types that lack it
+	ReportWithin         float64 // seconds within which flags are held to come
+	Package              Package
+	Condition            Condition
+	Seed                 uint64
+}
+
+// Result is how one rollout went.
+type Result struct {
+	Package   string  `json:"package"`
+	Condition string  `json:"condition"`
+	Seed      uint64  `json:"seed"`
+	Bad       bool    `json:"bad"`
+	Waves     int     `json:"waves"`    // that it was advanced past
+	Released  bool    `json:"released"` // at any time
+	Back      bool    `json:"back"`     // it was taken back
+	Verdict   float64 `json:"verdict"`  // seconds to release or way back, whichever came first
+	Undecided bool    `json:"undecided"`
+	Commands  int     `json:"commands"`
+	Failed    int     `json:"failed"` // commands that got an error, a nack or no answer in time
+	Trial     int     `json:"trial"`  // deliveries at the package before its release
+	Broken    int     `json:"broken"` // times the exposure rule was broken
+}
+
+const (
+	second   = float64(choice.Second)
+	earlier  = 1
+	later    = 2
+	window   = 4.0 // seconds of the exposure rule
+	newsLag  = 0.05
+	listLag  = 0.1
+	replace  = 1.0 // seconds that a unit is away
+	cold     = 4.0 // seconds until it is warm
+	slots    = 8
+	callTime = 0.02 // seconds that a unit works on a command, in the middle
+)
+
+// event is one thing that happens.
+type event struct {
+	at  choice.Tick
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any     { last := (*e)[len(*e)-1]; *e = (*e)[:len(*e)-1]; return last }
+
+// model is one rollout under way.
+type model struct {
+	Rollout
+	now    choice.Tick
+	seq    int
+	queue  events
+	rand   *rand.Rand
+	work   distuv.LogNormal
+	gap    distuv.Exponential
+	delay  distuv.LogNormal
+	nodes  []*node
+	units  []*unit
+	set    map[string]any
+	doors  uint64
+	result Result
+
+	stage   int
+	phase   choice.Phase
+	began   choice.Tick // the stage
+	before  float64     // the cap before the present one, for a second
+	pending bool        // a vote to go on waits for the bake
+	done    bool
+}
+
+// unit is one machine.
+type unit struct {
+	door  int
+	zone  int
+	build uint16
+	start choice.Tick
+	state choice.State
+	life  int
+	busy  [slots]choice.Tick
+	moves int // replacements asked for; only the newest counts
+}
+
+// node is one relay.
+type node struct {
+	*model
+	no      int
+	relay   *choice.Relay
+	units   []*choice.Unit
+	life    int
+	blind   bool
+	taken   []choice.Tick
+	sent    []choice.Tick
+	out     map[*choice.Delivery]bool
+	cap     float64
+	capAt   choice.Tick
+	wasCap  float64
+	garbage int
+}
+
+func ticksOf(seconds float64) choice.Tick { return choice.Tick(seconds * second) }
+
+// Run plays one rollout. The same rollout always goes the same way.
+func (r Rollout) Run() Result {
+	m := &model{Rollout: r, now: ticksOf(1000), rand: rand.New(rand.NewPCG(r.Seed, 0x5117e2c07e))}
+	src := rand.NewPCG(r.Seed, 0xd157)
+	m.work = distuv.LogNormal{Mu: math.Log(callTime), Sigma: 0.5, Src: src}
+	m.gap = distuv.Exponential{Rate: r.Rate / float64(r.Relays), Src: src}
+	m.delay = distuv.LogNormal{Mu: math.Log(max(0.5, r.Condition.Late)), Sigma: 0.4, Src: src}
+	m.set = m.settings()
+	m.result = Result{Package: r.Package.Name, Condition: r.Condition.Name, Seed: r.Seed, Bad: r.Package.Bad}
+	for i := range r.Units {
+		m.units = append(m.units, &unit{door: i, zone: i % max(1, r.Zones), build: earlier, state: choice.Ready})
+	}
+	m.phase = choice.Released
+	for i := range r.Relays {
+		n := &node{model: m, no: i, blind: i < int(r.Condition.Blind*float64(r.Relays))}
+		m.nodes = append(m.nodes, n)
+		n.start()
+		m.after(m.gap.Rand(), n.arrive)
+	}
+	const warm = 3.0 // seconds of traffic at the earlier package alone
+	m.after(warm, func() { m.enter(0) })
+	if r.Condition.Restart > 0 {
+		m.after(warm+r.Condition.Restart, func() { m.restart(0) })
+	}
+	end := m.now + ticksOf(warm+r.Longest)
+	for len(m.queue) > 0 && !m.done {
+		e := heap.Pop(&m.queue).(event)
+		if e.at > end {
+			m.result.Undecided = !m.result.Released && !m.result.Back
+			break
+		}
+		m.now = e.at
+		e.do()
+	}
+	return m.result
+}
+
+func (m *model) after(seconds float64, do func()) { m.at(m.now+max(0, ticksOf(seconds)), do) }
+
+func (m *model) at(t choice.Tick, do func()) {
+	m.seq++
+	heap.Push(&m.queue, event{max(t, m.now), m.seq, do})
+}
+
+// settings are those of a relay, in the lab's own figures.
+func (m *model) settings() map[string]any {
+	var ops []map[string]any
+	for _, o := range m.Ops {
+		ops = append(ops, map[string]any{"name": o.Name, "repeats": o.Repeats, "repeat_group": "all", "repeat_window": 30.0,
+			"service_target": 0.5, "command_timeout": 2.0, "importance": 1.0})
+	}
+	var caps, parts []any
+	for _, w := range m.Waves {
+		caps, parts = append(caps, w.Cap), append(parts, w.Part)
+	}
+	return map[string]any{"relays": float64(m.Relays), "limits.max_deliveries": 3.0, "limits.may_cancel": true,
+		"limits.come_back": true, "limits.max_come_back": 1.0, "limits.idle_close": 5.0, "rules.cold": cold,
+		"rules.cold_from": 0.5, "rules.fall_multiple": 2.0, "rules.tip_after": 1.0, "rules.drain_grace": 1.0,
+		"rules.ask_every": 20.0, "rollout.exposure_free": 4.0, "rollout.exposure_window": window,
+		"rollout.exposure_by": "all", "rollout.caps": caps, "rollout.stage_shares": parts, "rollout.guarded_stages": 0.0,
+		"rollout.control": "single", "rollout.vote_life": 4.0, "rollout.vote_wait": 1.0,
+		"rollout.votes_per_s": 2 * float64(m.Relays), "rollout.found_share": m.Found,
+		"rollout.evidence_wait": m.EvidenceWait, "rollout.report_within": m.ReportWithin, "op_types": ops}
+}
+
+// start starts a relay's process: nothing is known from before.
+func (n *node) start() {
+	n.life++
+	n.out = map[*choice.Delivery]bool{}
+	n.units = make([]*choice.Unit, len(n.model.units))
+	n.relay = choice.New(n, n.now, n.Seed<<8^uint64(n.no)<<1^uint64(n.life), n.set)
+	for i, u := range n.model.units {
+		n.units[i] = &choice.Unit{Door: uint32(i)}
+		n.list(u)
+	}
+	n.relay.Listed(n.now, true)
+	n.news(false, choice.Acked)
+}
+
+// list tells a relay of a unit.
+func (n *node) list(u *unit) {
+	n.relay.UnitListed(n.now, n.units[u.door], choice.Listing{Zone: u.zone, State: u.state, Nominal: 1, Start: u.start,
+		Build: u.build})
+}
+
+// news tells it where the package stands.
+func (n *node) news(answer bool, ending choice.Ending) {
+	build, cap := uint16(later), 1.0
+	if n.stage < 0 || n.began == 0 {
+		build = earlier
+	} else {
+		cap = n.capNow()
+	}
+	if build == later && cap != n.cap {
+		n.wasCap, n.cap, n.capAt = n.cap, cap, n.now
+	}
+	n.relay.Stage(n.now, choice.StageNews{Build: build, Stage: max(0, n.stage), Phase: n.phase, Cap: cap, Answer: answer,
+		Ending: ending})
+}
+
+func (m *model) capNow() float64 {
+	switch m.phase {
+	case choice.OnTrial:
+		return m.Waves[m.stage].Cap
+	case choice.Released:
+		return 1
+	}
+	return 0
+}
+
+// tellAll tells every relay where the package stands, after a while; the blind hear of it late.
+func (m *model) tellAll() {
+	for _, n := range m.nodes {
+		lag, life := newsLag, n.life
+		if n.blind {
+			lag = 5
+		}
+		m.after(lag, func() {
+			if n.life == life {
+				n.news(false, choice.Acked)
+			}
+		})
+	}
+}
+
+// enter begins a wave: so many units get the package.
+func (m *model) enter(stage int) {
+	m.stage, m.phase, m.began, m.pending = stage, choice.OnTrial, m.now, false
+	m.tellAll()
+	m.replace(later, int(math.Ceil(m.Waves[stage].Part*float64(m.Units))))
+}
+
+// replace has units run a build until so many do; one unit of each six is first, then the next.
+func (m *model) replace(build uint16, upTo int) {
+	has := 0
+	for _, u := range m.units {
+		if u.build == build {
+			has++
+		}
+	}
+	for i := 0; i < m.Units && has < upTo; i++ {
+		u := m.units[i*7%m.Units]
+		if m.Units%7 == 0 {
+			u = m.units[i]
+		}
+		if u.build == build {
+			continue
+		}
+		has++
+		u.moves++
+		move := u.moves
+		u.state = choice.Draining
+		m.tellUnit(u)
+		m.after(replace, func() {
+			if u.moves != move {
+				return
+			}
+			u.build, u.start, u.state = build, m.now, choice.Ready
+			u.life++
+			u.busy = [slots]choice.Tick{}
+			m.tellUnit(u)
+		})
+	}
+}
+
+// tellUnit tells every relay of a unit, after a while.
+func (m *model) tellUnit(u *unit) {
+	is := *u
+	for _, n := range m.nodes {
+		life, lag := n.life, listLag
+		if n.blind {
+			lag = 0.9 * replace // the grace of a drain is kept
+		}
+		m.after(lag, func() {
+			if n.life == life {
+				n.list(&is)
+				n.relay.Listed(m.now, true)
+			}
+		})
+	}
+}
+
+// restart kills one relay after the other; each starts again at once and knows nothing.
+func (m *model) restart(no int) {
+	n := m.nodes[no%m.Relays]
+	n.start()
+	m.after(m.Condition.Restart, func() { m.restart(no + 1) })
+}
+
+// arrive takes the next command at a relay.
+func (n *node) arrive() {
+	c := n.Condition
+	since := (n.now - ticksOf(1003))
+	rate := 1.0
+	if c.Burst > 0 && since >= ticksOf(c.From) && since < ticksOf(c.From+c.For) {
+		rate = c.Burst
+	}
+	n.after(n.gap.Rand()/rate, n.arrive)
+	draw, op := n.rand.Float64(), 0
+	for draw >= n.Ops[op].Share && op < len(n.Ops)-1 {
+		draw -= n.Ops[op].Share
+		op++
+	}
+	n.doors++
+	cmd := &choice.Command{Door: n.doors, OpType: op, NotAfter: n.now + ticksOf(2), Write: op > 0}
+	n.result.Commands++
+	n.taken = append(n.taken, n.now)
+	n.relay.Command(n.now, cmd)
+}
+
+// Deliver works a command at a unit.
+func (n *node) Deliver(d *choice.Delivery, stopAt choice.Tick) {
+	u := n.model.units[d.To.Door]
+	n.out[d] = true
+	n.expose(u)
+	life, own, build := u.life, n.life, u.build
+	p := n.Package
+	shows := build == later && n.now >= u.start+ticksOf(p.After)
+	took := n.work.Rand()
+	if shows && p.Slow > 0 {
+		took *= p.Slow
+	}
+	if n.Condition.SlowZone > 0 && u.zone == 0 {
+		took *= n.Condition.SlowZone
+	}
+	if u.start > 0 && n.now < u.start+ticksOf(cold) {
+		took /= 0.5 + 0.5*float64(n.now-u.start)/(cold*second)
+	}
+	slot := 0
+	for i := range u.busy {
+		if u.busy[i] < u.busy[slot] {
+			slot = i
+		}
+	}
+	end := max(n.now, u.busy[slot]) + ticksOf(took)
+	u.busy[slot] = end
+	fails := n.Base
+	if build == earlier {
+		fails += n.Condition.BaseFails
+	}
+	if shows {
+		more := p.Errors["all"] + p.Errors[n.Ops[d.Cmd.OpType].Name]
+		if n.Condition.Clump > 0 { // most of it at one unit of each six
+			if u.door%6 == 0 {
+				more = min(0.95, more*6*n.Condition.Clump)
+			} else {
+				more *= (1 - n.Condition.Clump) * 6 / 5
+			}
+		}
+		fails += more
+	}
+	ending := choice.Acked
+	if n.rand.Float64() < fails {
+		ending = choice.Errored
+	}
+	wrong := ending == choice.Acked && shows && n.rand.Float64() < p.Wrong
+	if n.no < n.Condition.Garbage {
+		if n.garbage++; n.garbage%10 == 0 {
+			ending = choice.Errored
+		}
+	}
+	if end > stopAt {
+		end, ending = stopAt, choice.TimedOut
+	}
+	sent := n.now
+	n.at(end, func() {
+		if n.life != own || !n.out[d] {
+			return
+		}
+		if u.life != life {
+			ending = choice.Reset
+		}
+		delete(n.out, d)
+		if ending == choice.Acked && wrong {
+			n.flag(d.To, d.Cmd.OpType, build)
+		}
+		n.relay.Outcome(n.now, d, ending, n.now-sent, ending == choice.Acked, nil)
+	})
+}
+
+// flag has a client find a wrong answer later, and maybe report it to any relay.
+func (n *node) flag(to *choice.Unit, op int, build uint16) {
+	if n.rand.Float64() >= n.Found || n.rand.Float64() < n.Condition.Lost {
+		return
+	}
+	at, door := n.now, to.Door
+	other := n.nodes[n.rand.IntN(n.Relays)]
+	n.after(n.delay.Rand(), func() {
+		if u := other.units[door]; u.Build == build { // one of another process is no longer known
+			other.relay.WrongAnswer(n.now, u, op, n.now-at)
+		}
+	})
+}
+
+// expose counts a send at the package while it is on trial, and holds it against the rule.
+func (n *node) expose(u *unit) {
+	if u.build != later || n.phase == choice.Released || n.began == 0 {
+		return
+	}
+	n.result.Trial++
+	from := n.now - ticksOf(window)
+	n.sent = slices.DeleteFunc(n.sent, func(t choice.Tick) bool { return t < from })
+	n.taken = slices.DeleteFunc(n.taken, func(t choice.Tick) bool { return t < from })
+	n.sent = append(n.sent, n.now)
+	cap := n.cap
+	if n.capAt == 0 { // a relay that has not heard of the package holds it for one in its first wave
+		cap = n.Waves[0].Cap
+	}
+	if n.now < n.capAt+ticksOf(1+window) {
+		cap = max(cap, n.wasCap)
+	}
+	if float64(len(n.sent)) > 4+cap*float64(len(n.taken))+1e-9 && n.now > n.capAt+ticksOf(1) {
+		n.result.Broken++
+	}
+}
+
+// Nack, Fail: the client has no answer.
+func (n *node) Nack(*choice.Command, choice.Tick) { n.result.Failed++ }
+func (n *node) Fail(*choice.Command)              { n.result.Failed++ }
+
+// Cancel ends a delivery at once.
+func (n *node) Cancel(d *choice.Delivery) {
+	own := n.life
+	n.after(0, func() {
+		if n.life != own || !n.out[d] {
+			return
+		}
+		delete(n.out, d)
+		n.relay.Outcome(n.now, d, choice.Cancelled, 0, false, nil)
+	})
+}
+
+// WakeAt sets an alarm.
+func (n *node) WakeAt(at choice.Tick, tag uint32) {
+	own := n.life
+	n.at(at, func() {
+		if n.life == own {
+			n.relay.Alarm(n.now, tag)
+		}
+	})
+}
+
+// What the model has no use for.
+func (n *node) Probe(*choice.Unit)     {}
+func (n *node) CloseIdle(*choice.Unit) {}
+func (n *node) Tell(uint32, []byte)    {}
+func (n *node) Log(string)             {}
+func (n *node) Watch(bool)             {}
+func (n *node) Fetch()                 {}
+
+// Vote brings a vote to the platform, where one decides.
+func (n *node) Vote(build uint16, stage int, verdict choice.Verdict) {
+	own := n.life
+	n.after(newsLag, func() {
+		counts := build == later && (n.phase == choice.OnTrial && stage == n.stage || n.phase == choice.Released)
+		if counts {
+			n.count(verdict)
+		}
+		if n.life != own {
+			return
+		}
+		ending := choice.Acked
+		if !counts {
+			ending = choice.Moot
+		}
+		n.news(true, ending)
+	})
+}
+
+// count acts on a vote.
+func (m *model) count(v choice.Verdict) {
+	switch {
+	case v == choice.GoBack && m.phase != choice.RollingBack:
+		m.result.Back = true
+		m.verdict()
+		m.phase = choice.RollingBack
+		m.tellAll()
+		m.done = true
+	case v == choice.GoOn && m.phase == choice.OnTrial && !m.pending:
+		m.pending = true
+		wait := max(0, m.began+ticksOf(m.Bake)-m.now)
+		stage := m.stage
+		m.at(m.now+wait, func() {
+			if m.phase == choice.OnTrial && m.stage == stage {
+				m.advance()
+			}
+		})
+	}
+}
+
+func (m *model) verdict() {
+	if m.result.Verdict == 0 {
+		m.result.Verdict = float64(m.now-ticksOf(1003)) / second
+	}
+}
+
+// advance goes to the next wave, or releases.
+func (m *model) advance() {
+	m.result.Waves++
+	if m.stage+1 < len(m.Waves) {
+		m.enter(m.stage + 1)
+		return
+	}
+	m.phase, m.result.Released = choice.Released, true
+	m.verdict()
+	m.tellAll()
+	m.after(m.Watch, func() { m.done = true })
+}
