--- a/choice/choice.go
+++ b/choice/choice.go
@@ -394,7 +394,7 @@
 			r.see(1+broke, y, r.share(broke)+demoted)
 		}
 		j.sample.add(op, x, kept)
-		j.rule(op, x, r.share(op), effect)
+		j.rule(op, x, r.usual(op), effect)
 		j.inStage++
 		r.note(op, x)
 		r.see(0, x, r.edge(-1, op))
@@ -455,7 +455,7 @@
 	case r.num("rollout.found_share") == 0:
 	case build == j.build:
 		if j.sample.add(last, x, keptFlags); x > 0 {
-			j.rule(last, x, r.share(last), effect*r.num("rollout.found_share"))
+			j.rule(last, x, r.usual(last), effect*r.num("rollout.found_share"))
 		} else if r.span("rollout.report_within") > 0 { // its flag may be on its way
 			j.answers = keep(j.answers, r.now, keptFlags)
 		}
@@ -732,7 +732,7 @@
 	j, last := r.judged, len(r.opTypes)
 	for n := 0; len(j.answers) > 0 && n < keptFlags && j.answers[0]+r.span("rollout.report_within") <= r.now; n++ {
 		j.answers = j.answers[1:]
-		j.rule(last, 0, r.share(last), effect*r.num("rollout.found_share"))
+		j.rule(last, 0, r.usual(last), effect*r.num("rollout.found_share"))
 	}
 	for which, wealth := range j.out {
 		matters := which < last && len(r.took[which]) > 0
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -600,3 +600,50 @@
 	b.Alarm(b.now, 0)
 	check(t, "alone", b.alone, true)
 }
+
+// A failure share of the effect above the earlier build's is ruled out by 14 good outcomes at a share of 0.01, and by no
+// number of them where it is the true one.
+func TestEffectIsRuledOut(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		base  float64
+		every int // one in so many fails, 0: none
+		most  int // outcomes that it may take, 0: it must not be ruled out within 2000
+	}{{"none fails", 0.01, 0, 14}, {"one in a hundred", 0.01, 100, 30}, {"the earlier one fails, too", 0.3, 3, 120},
+		{"worse than the effect", 0.01, 4, 0}, {"all fail", 0.01, 1, 0}, {"base near one", 0.99, 1, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			j, n := &trial{out: []float64{1}}, 0
+			for ; n < 2000 && j.out[0] < 1/missed; n++ {
+				x := 0.0
+				if c.every > 0 && n%c.every == 0 {
+					x = 1
+				}
+				j.rule(0, x, c.base, effect)
+			}
+			if c.most > 0 && n > c.most || c.most == 0 && n < 2000 || math.IsNaN(j.out[0]) {
+				t.Errorf("ruled out after %d, wealth %v", n, j.out[0])
+			}
+		})
+	}
+}
+
+// Answers count for the flags once these would have come.
+func TestFlagsOnTheWayAreWaitedFor(t *testing.T) {
+	b := newBench(map[string]any{"rollout.found_share": 1.0, "rollout.report_within": 5.0})
+	b.unit(1, 1, 0)
+	b.unit(2, 2, 0)
+	b.news(2, 0, OnTrial, 0.2)
+	last := len(b.opTypes)
+	for range 60 {
+		b.Relay.answer(2, 0)
+	}
+	if b.short() != last {
+		t.Errorf("%d is open, wanted the flags", b.short())
+	}
+	b.now += 5*Second + 1
+	b.Relay.now = b.now
+	if open := b.short(); open == last {
+		t.Error("the flags are still waited for after their time")
+	}
+	b.WrongAnswer(b.now, b.units[0], redeliverable, Second)
+}
--- a/choice/help.go
+++ b/choice/help.go
@@ -90,6 +90,15 @@
 	return (bad + 0.5) / (n + 1)
 }
 
+// usual is the same for ruling an effect out: while next to nothing is known of the earlier build it is held to be
+// good, so that nothing is ruled out too soon.
+func (r *Relay) usual(which int) float64 {
+	if _, n := r.base.count(which); n < keptUnit {
+		return margin
+	}
+	return r.share(which)
+}
+
 // stages tells how many a build has, and part the units of one as a share of the fleet's places.
 func (r *Relay) stages() int {
 	l, _ := r.set["rollout.stage_shares"].([]any)
@@ -186,7 +195,7 @@
 		for i := range n {
 			x := float64((i+1)*bad/n - i*bad/n)
 			if which < ops {
-				r.judged.rule(which, x, r.share(which), effect)
+				r.judged.rule(which, x, r.usual(which), effect)
 				r.see(0, x, r.edge(-1, which))
 			}
 			r.see(1+which, x, r.edge(which, which))
@@ -202,6 +211,19 @@
 
 func (r *Relay) Probed(now Tick, u *Unit, ending Ending, took Tick, load []float64) { r.now = now }
 
+// Reason says why a vote of this kind is cast now.
+func (r *Relay) Reason(v Verdict) string {
+	switch open := r.short(); {
+	case v == GoBack:
+		return r.judged.alarm
+	case v == Hold:
+		return "outcomes that look worse than the earlier build's"
+	case open >= 0:
+		return "the clock, as the effect is not ruled out for " + streamName(1+open, len(r.opTypes))
+	}
+	return "evidence that rules the effect out for each op type with traffic"
+}
+
 // toEnd puts one at the end of a list that has it.
 func toEnd[T comparable](list []T, one T) {
 	if at := slices.Index(list, one); at >= 0 {
--- a/cmd/covectl/main.go
+++ b/cmd/covectl/main.go
@@ -23,6 +23,7 @@
 	Uptane    uptaneCmd    `cmd:"" help:"Look into what a Director tells servers."`
 	Metadata  metadataCmd  `cmd:"" help:"Run or watch the metadata front."`
 	Floor     floorCmd     `cmd:"" help:"Look into a floor, or set its time back."`
+	Verdict   verdictCmd   `cmd:"" help:"Look into a relay's votes, and plan for evidence."`
 	Standin   standinCmd   `cmd:"" help:"Stand-ins for trying things out."`
 	Lab       labCmd       `cmd:"" help:"Measurements against stand-ins."`
 }
--- /dev/null
+++ b/cmd/covectl/verdict.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"silvercove/internal/ledger"
+)
+
+type verdictCmd struct {
+	Explain verdictExplainCmd `cmd:"" help:"Tell why each vote was cast, from a relay's ledger."`
+	Plan    verdictPlanCmd    `cmd:"" help:"Tell how long evidence takes at an installation's traffic."`
+}
+
+type verdictExplainCmd struct {
+	File string `arg:"" type:"existingfile" help:"The ledger that the operator's file of a relay names."`
+}
+
+// Run prints the reasons.
+func (c *verdictExplainCmd) Run() error {
+	l, err := ledger.OfFile(c.File)
+	if err != nil {
+		return err
+	}
+	fmt.Println(strings.Join(l.Explain(), "\n"))
+	return nil
+}
+
+type verdictPlanCmd struct {
+	Rates  map[string]float64 `arg:"" help:"Commands a second of each op type at all relays, such as read=300 sell=2."`
+	Relays int                `default:"1" help:"Relays that share them and don't tell each other."`
+	Caps   []float64          `default:"0.1,0.35,1" help:"Caps of the waves."`
+	Base   float64            `default:"0.01" help:"Failure share of the earlier package."`
+	Effect float64            `default:"0.2" help:"Failures beyond it that are to be ruled out."`
+	Miss   float64            `default:"0.05" help:"Chance of a miss, for one op type at one relay."`
+}
+
+// Run prints the table: outcomes and time for each op type in each wave.
+func (c *verdictPlanCmd) Run() error {
+	switch {
+	case len(c.Rates) == 0 || c.Relays < 1:
+		return fmt.Errorf("op types with their rates, and one relay or more, are wanted")
+	case c.Base < 0 || c.Effect <= 0 || c.Base+c.Effect >= 1 || c.Miss <= 0 || c.Miss >= 1:
+		return fmt.Errorf("base %g, effect %g, miss %g: shares between 0 and 1 are wanted, base and effect below 1 together",
+			c.Base, c.Effect, c.Miss)
+	}
+	least := math.Log(1/c.Miss) / math.Log((1-c.Base)/(1-c.Base-c.Effect))
+	// With failures at the base the wealth grows by this on average: the outcomes that are needed in the middle.
+	growth := c.Base*math.Log(max(c.Base, 1e-9)/(c.Base+c.Effect)) + (1-c.Base)*math.Log((1-c.Base)/(1-c.Base-c.Effect))
+	middle := math.Log(1/c.Miss) / growth
+	fmt.Printf("%.0f outcomes at the least, about %.0f at a base of %.3g, for each op type at one relay\n", math.Ceil(least),
+		math.Ceil(middle), c.Base)
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprint(w, "op type\ta second\t")
+	for i := range c.Caps {
+		fmt.Fprintf(w, "wave %d\t", i+1)
+	}
+	fmt.Fprintln(w)
+	for name, rate := range c.Rates {
+		fmt.Fprintf(w, "%s\t%g\t", name, rate)
+		for _, cap := range c.Caps {
+			took := middle / (rate * cap * 0.9 / float64(c.Relays))
+			fmt.Fprintf(w, "%s\t", time.Duration(min(took, 1e7)*float64(time.Second)).Round(100*time.Millisecond))
+		}
+		fmt.Fprintln(w)
+	}
+	return w.Flush()
+}
--- a/cmd/silvercove/config.go
+++ b/cmd/silvercove/config.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"net"
 	"os"
+	"path/filepath"
 	"strconv"
 
+	"silvercove/internal/conf"
 	"silvercove/internal/gate"
 	"silvercove/internal/info"
 	"silvercove/internal/list"
@@ -24,6 +26,7 @@
 	seq                               int64
 	known                             []gate.Host
 	settings                          map[string]any
+	verdicts                          map[string]any // of the operator's own file; nil without one
 }
 
 // readTold reads the environment and the configuration that it names.
@@ -50,7 +53,27 @@
 	if err := t.read(text); err != nil {
 		return t, fmt.Errorf("NODE_CONFIG %s: %w", path, err)
 	}
-	return t, nil
+	return t, t.operator(env("NODE_OPERATOR"))
+}
+
+// operator reads the operator's own file, if one is named. What it says of verdicts joins the settings.
+func (t *told) operator(path string) error {
+	if path == "" {
+		return nil
+	}
+	all, err := conf.Operators.Read(path)
+	if err != nil {
+		return fmt.Errorf("NODE_OPERATOR: %w", err)
+	}
+	if t.verdicts, _ = all["verdicts"].(map[string]any); t.verdicts == nil {
+		return nil
+	}
+	t.settings["rollout.evidence_wait"] = t.verdicts["evidence_wait"]
+	t.settings["rollout.report_within"] = t.verdicts["report_within"]
+	if file, ok := t.verdicts["ledger"].(string); ok && !filepath.IsAbs(file) {
+		t.verdicts["ledger"] = filepath.Join(filepath.Dir(path), file)
+	}
+	return nil
 }
 
 func (t *told) read(text []byte) error {
--- a/cmd/silvercove/main.go
+++ b/cmd/silvercove/main.go
@@ -74,6 +74,7 @@
 	desk  *platform.Desk
 
 	discovery, platform *link.Place
+	memory              *memory // nil without an operator's file that speaks of verdicts
 }
 
 func run(t told, env func(string) string) error {
@@ -92,6 +93,9 @@
 	group.Go(func() error { return r.pools.Run(ctx) })
 	group.Go(func() error { return r.watch.Run(ctx, r.gate, t.settings["discovery"] != "subscribe") })
 	group.Go(func() error { return r.desk.Run(ctx, r.gate) })
+	if r.memory != nil {
+		group.Go(func() error { return r.memory.run(ctx, r) })
+	}
 	r.pools.Warm(r.gate.Ready())
 	listener, err := net.Listen("tcp", t.listen) // now it is ready to serve
 	if err != nil {
@@ -161,11 +165,15 @@
 	}
 	r.watch = list.New(r.discovery, t.seq, grace, grace/2, r.room, say)
 	r.desk = platform.New(r.platform, calls, r.room, say)
-	r.gate = gate.New(t.seed, t.settings, gate.Hands{
+	hands := gate.Hands{
 		Vote: r.desk.Vote, Watch: r.watch.On, Fetch: r.watch.Fetch, Log: say,
 		Probe:     func(u gate.Unit) { r.pools.Probe(u) },
 		CloseIdle: func(name string) { r.pools.CloseIdle(name) },
-	})
+	}
+	if r.memory = newMemory(t); r.memory != nil {
+		hands.Witness = r.memory.ledger
+	}
+	r.gate = gate.New(t.seed, t.settings, hands)
 	comeBack := time.Duration(0)
 	if t.settings["limits.come_back"] == true {
 		comeBack = span("limits.max_come_back")
@@ -175,6 +183,9 @@
 	r.front = clients.New(r.gate, r.pools, r.room, t.sockets-otherSockets-atUnits, timeout, comeBack)
 	r.gate.List(true, t.known)
 	r.gate.Told(t.news)
+	if r.memory != nil {
+		r.memory.age(r, t.news)
+	}
 	return r
 }
 
--- a/internal/conf/table.go
+++ b/internal/conf/table.go
@@ -19,6 +19,19 @@
 		Default: "info", Text: "The least level of log lines."},
 	{Name: "metadata", Block: true, Text: "The metadata front: TUF and Uptane metadata and packages for servers."},
 
+	{Name: "verdicts", Block: true, Text: "How a relay judges new packages, and what it keeps of that. For bin/silvercove, by NODE_OPERATOR."},
+
+	{In: "verdicts", Name: "evidence_wait", Values: []Value{{Name: "span", Kind: Span, Least: 0, Most: 86400}}, Default: "0s",
+		Text: "How long a stage waits for evidence on op types that lack it, before the clock decides."},
+	{In: "verdicts", Name: "report_within", Values: []Value{{Name: "span", Kind: Span, Least: 0, Most: 86400}}, Default: "0s",
+		Text: "Within which flags on wrong answers are held to come; 0s: a vote does not wait for them."},
+	{In: "verdicts", Name: "ledger", Values: []Value{{Name: "path", Kind: Path}},
+		Text: "Where what is known of builds outlives a restart. Without: it does not."},
+	{In: "verdicts", Name: "save", Values: []Value{{Name: "every", Kind: Span, Least: 0.1, Most: 3600}}, Default: "2s",
+		Text: "How often the ledger is written; what came since is lost with the process."},
+	{In: "verdicts", Name: "half_life", Values: []Value{{Name: "span", Kind: Span, Least: 1, Most: 86400}}, Default: "10m",
+		Text: "After a restart outcomes count half for each such span that has passed."},
+
 	{In: "metadata", Name: "listen", Values: []Value{{Name: "address", Kind: Address}}, Needed: true,
 		Text: "Where servers connect."},
 	{In: "metadata", Name: "floor", Values: []Value{{Name: "paths", Kind: Many}},
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,50 @@
 	// Of fronts that hand on what the gate hears; nil where there is none.
 	Hosts func(whole bool, hosts []Host)
 	Stage func(Stage)
+
+	// Keeps what was seen of each build; nil for none. It is called while the gate is held.
+	Witness Witness
+}
+
+// Witness is told what the module is told of builds, and each vote with its reason.
+type Witness interface {
+	Offered(now choice.Tick, build uint16, state string)
+	Outcome(now choice.Tick, build uint16, opType, stage int, bad bool)
+	Flag(now choice.Tick, build uint16, opType, stage int, delay choice.Tick)
+	Voted(now choice.Tick, build uint16, stage int, verdict, why string)
+}
+
+// Hold has something done while the gate is held, such as a copy of what its witness keeps. It may not block.
+func (g *Gate) Hold(do func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	do()
+}
+
+// Recall hands the module what was known of a build before a restart: outcomes of each op type in the settings' order,
+// and how many of them were bad. They enter as another relay's counts do, in messages of what fits into one.
+func (g *Gate) Recall(build uint16, n, bad []int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	const most, messages = 254, 64
+	n, bad = slices.Clone(n), slices.Clone(bad)
+	for range messages {
+		data, any := make([]byte, 4+2*len(g.Counts.Ops)), false
+		data[0], data[1] = byte(build), byte(build>>8)
+		for op := range min(len(n), len(bad), len(g.Counts.Ops)) {
+			part := min(n[op], most)
+			wrong := 0
+			if n[op] > 0 {
+				wrong = min(part, (bad[op]*part+n[op]-1)/n[op])
+			}
+			data[2+2*op], data[3+2*op] = byte(part), byte(wrong)
+			n[op], bad[op], any = n[op]-part, max(0, bad[op]-wrong), any || part > 0
+		}
+		if !any {
+			return
+		}
+		g.module.Told(g.now(), 0, data)
+	}
 }
 
 // Gate stands before one module.
@@ -42,6 +87,7 @@
 	asks   bool // the list comes only when it is asked for
 	units  map[string]*unit
 	byDoor []*unit // in the order in which they were first listed
+	stage  int     // of the newest build
 	open   map[*choice.Command]*Command
 	out    map[*choice.Delivery]*Delivery
 	lag    lag
@@ -164,6 +210,7 @@
 	module  *choice.Delivery
 	cancel  context.CancelFunc
 	sent    time.Time
+	build   uint16 // of its unit then
 }
 
 // Chosen is when the module chose the delivery.
@@ -237,6 +284,9 @@
 		delete(g.open, d.module.Cmd)
 	}
 	now := g.now()
+	if w := g.hands.Witness; w != nil && (acked || ending == choice.Errored) {
+		w.Outcome(now, d.build, d.module.Cmd.OpType, g.stage, !acked)
+	}
 	g.module.Outcome(now, d.module, ending, max(0, now-g.tick(d.sent)), acked || c == nil, load)
 	return acked
 }
@@ -392,6 +442,9 @@
 // Vote casts a vote.
 func (g *Gate) Vote(build uint16, stage int, verdict choice.Verdict) {
 	g.Counts.Votes++
+	if w := g.hands.Witness; w != nil {
+		w.Voted(g.now(), build, stage, words[verdict], g.module.Reason(verdict))
+	}
 	g.hands.Vote(Vote{build, stage, verdicts[verdict]})
 }
 
--- a/internal/gate/news.go
+++ b/internal/gate/news.go
@@ -107,9 +107,20 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.Counts.Stages++
+	g.offered(s)
 	g.module.Stage(g.now(), s.news())
 }
 
+func (g *Gate) offered(s Stage) {
+	g.stage = s.Stage
+	if w := g.hands.Witness; w != nil {
+		w.Offered(g.now(), s.Build, s.State)
+	}
+}
+
+var words = map[choice.Verdict]string{choice.NoVote: "withdraw", choice.GoOn: "go on", choice.Hold: "hold",
+	choice.GoBack: "go back"}
+
 // Vote is one vote as the platform's page words it.
 type Vote struct {
 	Build   uint16
@@ -130,6 +141,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.Counts.VoteEndings[news.Ending]++
+	if news.Ending == choice.Acked {
+		g.offered(s)
+	}
 	g.module.Stage(g.now(), news)
 }
 
@@ -151,6 +165,9 @@
 	defer g.mu.Unlock()
 	g.Counts.Flags++
 	if u := g.units[name]; ok && u != nil {
+		if w := g.hands.Witness; w != nil {
+			w.Flag(g.now(), u.Build, op, g.stage, choice.Tick(age/tenth))
+		}
 		g.module.WrongAnswer(g.now(), &u.Unit, op, choice.Tick(age/tenth))
 	}
 }
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,155 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"math"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// experiment is the shipped one, with some of its packages and conditions.
+func experiment(t *testing.T, rollouts int, packages, conditions string) Experiment {
+	t.Helper()
+	e, err := ReadExperiment("../../deploy/rollouts.conf", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var p []Package
+	for _, x := range e.Packages {
+		if strings.Contains(packages, x.Name) {
+			p = append(p, x)
+		}
+	}
+	var c []Condition
+	for _, x := range e.Conditions {
+		if strings.Contains(conditions, x.Name) {
+			c = append(c, x)
+		}
+	}
+	e.Packages, e.Conditions, e.Rollouts = p, c, rollouts
+	return e
+}
+
+func run(t *testing.T, e Experiment) []Result {
+	t.Helper()
+	var b bytes.Buffer
+	all, err := e.Run(context.Background(), &b, func(int, int) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := ReadResults(&b)
+	if err != nil || !reflect.DeepEqual(all, again) {
+		t.Errorf("results are read as others: %v", err)
+	}
+	return all
+}
+
+// TestDeclaredRates: a fixed set of seeds keeps the declared rates, where the statement promises them.
+func TestDeclaredRates(t *testing.T) {
+	for _, c := range []struct{ name, packages, conditions string }{
+		{"good packages", "same within_margin", "calm burst slow_zone blind_zone restarts earlier_fails"},
+		{"PackageBadForOneOpTypeOfOnePerCent", "rare_op_type", "calm burst"},
+		{"PackageBadForOneOpType", "one_op_type", "calm restarts clumps earlier_fails"},
+		{"bad everywhere", "errors_everywhere", "calm burst blind_zone restarts clumps"},
+		{"ReportsArriveLate", "wrong_answers", "half_lost"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			e := experiment(t, 6, c.packages, c.conditions)
+			if len(e.Packages) == 0 || len(e.Conditions) == 0 {
+				t.Fatal("nothing is run")
+			}
+			all := run(t, e)
+			f, m := Totals(Sum(all))
+			if !f.Held(e.FalseAlarms) || !m.Held(e.Misses) {
+				t.Errorf("false alarms %s, misses %s", f, m)
+			}
+			for _, r := range all {
+				if r.Broken > 0 {
+					t.Errorf("%s, %s, seed %d: exposure broken %d times", r.Package, r.Condition, r.Seed, r.Broken)
+				}
+			}
+		})
+	}
+}
+
+// TestWithoutWaiting: by the design's clock a package that is bad for a rare op type is released: the gap.
+func TestWithoutWaiting(t *testing.T) {
+	e := experiment(t, 8, "rare_op_type", "calm")
+	e.Rollout.EvidenceWait = 0
+	if _, m := Totals(Sum(run(t, e))); m.K < 4 {
+		t.Errorf("misses %s: the experiment no longer shows the gap", m)
+	}
+}
+
+func TestSameEachTime(t *testing.T) {
+	e := experiment(t, 2, "errors_some", "calm restarts")
+	if a, b := run(t, e), run(t, e); !reflect.DeepEqual(a, b) {
+		t.Errorf("%+v\n%+v", a, b)
+	}
+}
+
+func TestRates(t *testing.T) {
+	for _, c := range []struct {
+		k, n     int
+		low, top float64
+	}{{0, 10, 0, 0.3085}, {10, 10, 0.6915, 1}, {1, 20, 0.0013, 0.2487}, {0, 0, 0, 1}} {
+		r := NewRate(c.k, c.n)
+		if math.Abs(r.Low-c.low) > 1e-3 || math.Abs(r.Top-c.top) > 1e-3 {
+			t.Errorf("%d of %d: %g to %g", c.k, c.n, r.Low, r.Top)
+		}
+	}
+	if p := fisher(NewRate(0, 10), NewRate(10, 10)); p > 1e-4 {
+		t.Errorf("p %g", p)
+	}
+	if p := fisher(NewRate(3, 10), NewRate(3, 10)); p < 0.99 {
+		t.Errorf("p %g", p)
+	}
+}
+
+func TestReports(t *testing.T) {
+	e := experiment(t, 2, "same errors_everywhere", "calm")
+	all := run(t, e)
+	var page, text, both bytes.Buffer
+	if err := HTML(&page, "A <title>", all, 0.05, 0.05); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"A &lt;title&gt;", "<svg", "errors_everywhere (bad)", "false alarms"} {
+		if !strings.Contains(page.String(), want) {
+			t.Errorf("the page lacks %q", want)
+		}
+	}
+	Print(&text, all, 0.05, 0.05)
+	if !strings.Contains(text.String(), "misses over all") {
+		t.Error(text.String())
+	}
+	if err := Compare(&both, "a", "b", all, all); err != nil || !strings.Contains(both.String(), "noise") {
+		t.Errorf("%v\n%s", err, both.String())
+	}
+	if err := Compare(&both, "a", "b", all, nil); err == nil {
+		t.Error("nothing to compare is no error")
+	}
+	if _, err := ReadResults(strings.NewReader("{\"x\":1}")); err == nil {
+		t.Error("other lines are read as results")
+	}
+}
+
+func TestExperimentFaults(t *testing.T) {
+	whole, err := os.ReadFile("../../deploy/rollouts.conf")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, put, want string }{
+		{"op_type rare 1%", "op_type rare 2%", "add up to"}, {"wave 35%", "wave 5%", "larger than"},
+		{"wave 100% 100%", "wave 90% 100%", "must be 1"}, {"errors rare", "errors other", "no op type"},
+		{"package late", "package slow", "given twice"}, {"rate 400", "rate 0", "above 0"},
+	} {
+		if _, err := ReadExperiment("f", strings.Replace(string(whole), c.old, c.put, 1)); err == nil ||
+			!strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v", c.put, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,429 @@
+// Package ledger keeps what a relay knows of each build: outcomes by op type, wave and source, flags by how late they
+// came, and each vote with the bounds that led to it. It is bounded whatever the number of builds, op types and
+// units, and outlives a restart as a snapshot where there is a lasting disk.
+//
+// The bounds are a confidence sequence: they hold at every moment at once with the level that is asked for, so that
+// a vote may look at any time (Shekhar and Ramdas, definition 1.1; the mixture is Robbins's, with a Beta(1/2, 1/2)
+// prior).
+//
+// Kind: state
+package ledger
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/google/renameio/v2"
+
+	"silvercove/choice"
+)
+
+// Bounds of what is kept.
+const (
+	mostBuilds = 8
+	mostWaves  = 16
+	mostVotes  = 64
+	mostOps    = 256
+)
+
+// Errors of a snapshot.
+var (
+	ErrDamaged = errors.New("damaged")
+	ErrLater   = errors.New("written by a later version of this program")
+)
+
+// Source tells where an outcome was seen.
+type Source uint8
+
+// The sources. Restored is what a snapshot gave back, aged.
+const (
+	Own Source = iota
+	Peer
+	Flagged
+	Platform
+	Restored
+	sources
+)
+
+var sourceNames = [sources]string{"own", "other relays", "flags", "the platform", "before a restart"}
+
+func (s Source) String() string { return sourceNames[min(s, sources-1)] }
+
+// Cell counts outcomes of one op type in one wave from one source.
+type Cell struct {
+	Op   int     `json:"op"`
+	Wave int     `json:"wave"`
+	From Source  `json:"from"`
+	N    float64 `json:"n"`
+	Bad  float64 `json:"bad"`
+}
+
+// Delays counts flags by how late they came: within 1 s, 10 s, 1 min, 10 min, and later.
+type Delays [5]int64
+
+var delaySteps = [4]choice.Tick{choice.Second, 10 * choice.Second, 60 * choice.Second, 600 * choice.Second}
+
+// Vote is one vote as it was cast.
+type Vote struct {
+	At      choice.Tick `json:"at"`
+	Stage   int         `json:"stage"`
+	Verdict string      `json:"verdict"`
+	Why     string      `json:"why"`
+	Known   []Known     `json:"known"`
+}
+
+// Known is what was known of one op type, and bounds on its share of failures.
+type Known struct {
+	Op   string  `json:"op"`
+	N    float64 `json:"n"`
+	Bad  float64 `json:"bad"`
+	Low  float64 `json:"low"`
+	High float64 `json:"high"`
+}
+
+// Build is what is kept of one build.
+type Build struct {
+	Number   uint16           `json:"build"`
+	First    choice.Tick      `json:"first"`
+	Last     choice.Tick      `json:"last"`
+	State    string           `json:"state"`
+	Cells    map[string]*Cell `json:"cells"` // by op type, wave and source
+	Late     Delays           `json:"late"`
+	Votes    []Vote           `json:"votes"`
+	Dropped  int64            `json:"dropped"`  // votes beyond what is kept
+	AfterEnd int64            `json:"afterend"` // flags that came after it was sent back
+}
+
+// Ledger is what one relay keeps. One goroutine at a time may use it.
+type Ledger struct {
+	ops     []string
+	level   float64
+	builds  []*Build // oldest first
+	Orphans int64    // reports on builds that are not kept
+	Lost    string   // why an earlier snapshot could not be had; "" if it could, or there was none
+}
+
+// New makes a ledger of the op types; bounds are given at a level such as 0.05, shared out among them.
+func New(ops []string, level float64) *Ledger {
+	return &Ledger{ops: ops[:min(len(ops), mostOps)], level: level / float64(max(1, len(ops)))}
+}
+
+func key(op int, wave int, s Source) string {
+	return strconv.Itoa(op) + "/" + strconv.Itoa(min(max(0, wave), mostWaves-1)) + "/" + strconv.Itoa(int(s))
+}
+
+// find gives the build of a number, nil if it isn't kept.
+func (l *Ledger) find(number uint16) *Build {
+	for _, b := range l.builds {
+		if b.Number == number {
+			return b
+		}
+	}
+	return nil
+}
+
+// Offered takes where a build stands; one that is new is kept from then on, in place of the oldest if need be.
+func (l *Ledger) Offered(now choice.Tick, number uint16, state string) {
+	b := l.find(number)
+	if b == nil {
+		if len(l.builds) >= mostBuilds {
+			l.builds = slices.Delete(l.builds, 0, 1)
+		}
+		b = &Build{Number: number, First: now, Cells: map[string]*Cell{}}
+		l.builds = append(l.builds, b)
+	}
+	b.Last, b.State = now, state
+}
+
+// Outcome takes an outcome of this relay's own.
+func (l *Ledger) Outcome(now choice.Tick, number uint16, op, wave int, bad bool) {
+	l.From(now, number, op, wave, Own, bad)
+}
+
+// From takes an outcome of an op type at a build from a source.
+func (l *Ledger) From(now choice.Tick, number uint16, op, wave int, from Source, bad bool) {
+	b := l.find(number)
+	if b == nil || op < 0 || op >= len(l.ops) {
+		l.Orphans++
+		return
+	}
+	x := 0.0
+	if bad {
+		x = 1
+	}
+	b.add(op, wave, from, 1, x)
+	b.Last = now
+}
+
+func (b *Build) add(op, wave int, from Source, n, bad float64) {
+	k := key(op, wave, from)
+	c := b.Cells[k]
+	if c == nil {
+		c = &Cell{Op: op, Wave: min(max(0, wave), mostWaves-1), From: from}
+		b.Cells[k] = c
+	}
+	c.N += n
+	c.Bad += bad
+}
+
+// Flag takes a wrong answer that was found so long after it was given. It belongs to the build that gave it, also
+// after that was judged; one of a build that is not kept is an orphan.
+func (l *Ledger) Flag(now choice.Tick, number uint16, op, wave int, delay choice.Tick) {
+	b := l.find(number)
+	if b == nil || op < 0 || op >= len(l.ops) {
+		l.Orphans++
+		return
+	}
+	step := 0
+	for step < len(delaySteps) && delay > delaySteps[step] {
+		step++
+	}
+	b.Late[step]++
+	b.add(op, wave, Flagged, 1, 1)
+	if b.State == "recalling" || b.State == "recalled" {
+		b.AfterEnd++
+	}
+	b.Last = now
+}
+
+// Voted keeps a vote with what was known when it was cast.
+func (l *Ledger) Voted(now choice.Tick, number uint16, stage int, verdict, why string) {
+	v := Vote{At: now, Stage: stage, Verdict: verdict, Why: why, Known: l.Known(number)}
+	b := l.find(number)
+	if b == nil {
+		l.Orphans++
+		return
+	}
+	if len(b.Votes) >= mostVotes {
+		b.Votes = slices.Delete(b.Votes, 0, 1)
+		b.Dropped++
+	}
+	b.Votes = append(b.Votes, v)
+}
+
+// Known tells what is known of each op type at a build, over all waves; flags are not outcomes, and left out.
+func (l *Ledger) Known(number uint16) (all []Known) {
+	b := l.find(number)
+	if b == nil {
+		return nil
+	}
+	all = make([]Known, len(l.ops))
+	for _, c := range b.Cells {
+		if c.From != Flagged {
+			all[c.Op].N += c.N
+			all[c.Op].Bad += c.Bad
+		}
+	}
+	for op, name := range l.ops {
+		k := &all[op]
+		k.Op = name
+		k.Low, k.High = Bounds(k.Bad, k.N, l.level)
+	}
+	return all
+}
+
+// Bounds are the ends of the confidence sequence for a share of failures at a level: with chance 1 − level they
+// hold for all n at once.
+func Bounds(bad, n, level float64) (low, high float64) {
+	if n <= 0 {
+		return 0, 1
+	}
+	most := math.Log(1 / level)
+	mix := logBeta(bad+0.5, n-bad+0.5) - logBeta(0.5, 0.5)
+	inside := func(p float64) bool { return mix-logPow(p, bad)-logPow(1-p, n-bad) < most }
+	at := bad / n
+	return search(0, at, inside), 1 - search(0, 1-at, func(q float64) bool { return inside(1 - q) })
+}
+
+// search finds the least point up to inner that is inside; inner is.
+func search(outer, inner float64, inside func(float64) bool) float64 {
+	if inside(outer) {
+		return outer
+	}
+	for range 60 {
+		if mid := (outer + inner) / 2; inside(mid) {
+			inner = mid
+		} else {
+			outer = mid
+		}
+	}
+	return inner
+}
+
+func logPow(p, k float64) float64 {
+	if k == 0 {
+		return 0
+	}
+	return k * math.Log(p)
+}
+
+func logBeta(a, b float64) float64 {
+	x, _ := math.Lgamma(a)
+	y, _ := math.Lgamma(b)
+	z, _ := math.Lgamma(a + b)
+	return x + y - z
+}
+
+// Aged gives what is kept of a build as counts of each op type, all and bad, for a module that starts anew: halved
+// for each span of a half-life that has passed since the last outcome, rounded down. A failure that is left over by
+// rounding is kept: evidence against a build is not to be lost by a restart.
+func (l *Ledger) Aged(now choice.Tick, number uint16, half choice.Tick) (n, bad []int) {
+	b := l.find(number)
+	if b == nil {
+		return nil, nil
+	}
+	part := math.Pow(0.5, float64(max(0, now-b.Last))/float64(max(1, half)))
+	n, bad = make([]int, len(l.ops)), make([]int, len(l.ops))
+	for i, k := range l.Known(number) {
+		bad[i] = int(math.Ceil(k.Bad*part - 1e-9))
+		n[i] = max(bad[i], int(k.N*part))
+	}
+	return n, bad
+}
+
+// snapshot is the form of the file.
+type snapshot struct {
+	Ops    []string `json:"ops"`
+	Builds []*Build `json:"builds"`
+	Orphan int64    `json:"orphans"`
+}
+
+const (
+	mark   = "silvercove-ledger"
+	format = 1
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Snapshot gives the bytes of a snapshot: a line with format and checksum, then JSON.
+func (l *Ledger) Snapshot() []byte {
+	body, _ := json.Marshal(snapshot{l.ops, l.builds, l.Orphans})
+	return append(fmt.Appendf(nil, "%s %d %08x %d\n", mark, format, crc32.Checksum(body, castagnoli), len(body)), body...)
+}
+
+// Read takes a snapshot in place of what is held. What is damaged, of a later version, or of other op types is
+// refused whole, and nothing changes.
+func (l *Ledger) Read(text []byte) error {
+	head, body, ok := bytes.Cut(text, []byte("\n"))
+	var v, size int
+	var sum uint32
+	if n, err := fmt.Sscanf(string(head), mark+" %d %08x %d", &v, &sum, &size); !ok || err != nil || n != 3 {
+		return fmt.Errorf("ledger: its head: %w", ErrDamaged)
+	}
+	if v > format {
+		return fmt.Errorf("ledger: format %d: %w", v, ErrLater)
+	}
+	if v < 1 || len(body) != size || crc32.Checksum(body, castagnoli) != sum {
+		return fmt.Errorf("ledger: its checksum: %w", ErrDamaged)
+	}
+	var s snapshot
+	if err := json.Unmarshal(body, &s); err != nil {
+		return fmt.Errorf("ledger: %w", ErrDamaged)
+	}
+	if !slices.Equal(s.Ops, l.ops) {
+		return fmt.Errorf("ledger: it is of the op types %v: %w", s.Ops, ErrDamaged)
+	}
+	if len(s.Builds) > mostBuilds {
+		return fmt.Errorf("ledger: %d builds: %w", len(s.Builds), ErrDamaged)
+	}
+	for _, b := range s.Builds {
+		if b == nil || b.Cells == nil || len(b.Votes) > mostVotes || len(b.Cells) > mostOps*mostWaves*int(sources) {
+			return fmt.Errorf("ledger: a build of it: %w", ErrDamaged)
+		}
+		for _, c := range b.Cells {
+			if c == nil || c.Op < 0 || c.Op >= len(l.ops) || c.From >= sources || !(c.N >= 0 && c.Bad >= 0 && c.Bad <= c.N && c.N < 1e15) {
+				return fmt.Errorf("ledger: a count of it: %w", ErrDamaged)
+			}
+		}
+	}
+	l.builds, l.Orphans = s.Builds, s.Orphan
+	return nil
+}
+
+// Load reads a snapshot's file; none is no error. One that can't be had is told in Lost, and the ledger starts afresh.
+func (l *Ledger) Load(path string) {
+	text, err := os.ReadFile(path)
+	if os.IsNotExist(err) {
+		return
+	}
+	if err == nil {
+		err = l.Read(text)
+	}
+	if err != nil {
+		l.Lost = err.Error()
+	}
+}
+
+// Save writes a snapshot's bytes in one step.
+func Save(path string, text []byte) error {
+	return renameio.WriteFile(path, text, 0o600, renameio.WithTempDir(filepath.Dir(path)))
+}
+
+// Explain tells in plain sentences what is known of each build and why each vote was cast.
+func (l *Ledger) Explain() (out []string) {
+	clock := func(t choice.Tick) string {
+		return time.UnixMicro(int64(t) * 100).UTC().Format("2006-01-02 15:04:05.000")
+	}
+	for _, b := range l.builds {
+		out = append(out, fmt.Sprintf("Build %d, %s: first seen %s, last heard of %s.", b.Number, b.State, clock(b.First),
+			clock(b.Last)))
+		for _, k := range l.Known(b.Number) {
+			if k.N > 0 {
+				out = append(out, fmt.Sprintf("  %s: %g of %g outcomes failed; its share is between %.1f%% and %.1f%%.", k.Op, k.Bad, k.N,
+					100*k.Low, 100*k.High))
+			} else {
+				out = append(out, fmt.Sprintf("  %s: nothing is known.", k.Op))
+			}
+		}
+		flags := int64(0)
+		for _, n := range b.Late {
+			flags += n
+		}
+		if flags > 0 {
+			out = append(out, fmt.Sprintf("  %d wrong answers were flagged: %d within 1 s, %d within 10 s, %d within 1 min, "+
+				"%d within 10 min, %d later; %d of them after it was sent back.", flags, b.Late[0], b.Late[1], b.Late[2], b.Late[3],
+				b.Late[4], b.AfterEnd))
+		}
+		for _, v := range b.Votes {
+			out = append(out, fmt.Sprintf("  %s: vote to %s at stage %d, because of %s.", clock(v.At), v.Verdict, v.Stage, v.Why))
+			for _, k := range v.Known {
+				out = append(out, fmt.Sprintf("    then known of %s: %g of %g failed, between %.1f%% and %.1f%%.", k.Op, k.Bad, k.N,
+					100*k.Low, 100*k.High))
+			}
+		}
+		if b.Dropped > 0 {
+			out = append(out, fmt.Sprintf("  %d earlier votes are not kept.", b.Dropped))
+		}
+	}
+	if l.Orphans > 0 {
+		out = append(out, fmt.Sprintf("%d reports were on builds that are not kept.", l.Orphans))
+	}
+	if len(out) == 0 {
+		out = append(out, "No build was seen.")
+	}
+	return out
+}
+
+// OfFile reads a snapshot's file for people, whatever its op types.
+func OfFile(path string) (*Ledger, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	_, body, _ := bytes.Cut(text, []byte("\n"))
+	var s struct {
+		Ops []string `json:"ops"`
+	}
+	json.Unmarshal(body, &s) // what is wrong with it is told by Read
+	l := New(s.Ops, 0.05)
+	return l, l.Read(text)
+}
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,184 @@
+package ledger
+
+import (
+	"errors"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"silvercove/choice"
+)
+
+const s = choice.Second
+
+func filled() *Ledger {
+	l := New([]string{"read", "sell"}, 0.05)
+	l.Offered(10*s, 7, "testing")
+	for i := range 40 {
+		l.Outcome(11*s, 7, i%2, i/20, i%10 == 0)
+	}
+	l.From(11*s, 7, 0, 0, Peer, true)
+	l.Flag(12*s, 7, 0, 1, 30*s)
+	l.Voted(13*s, 7, 1, "go on", "evidence")
+	return l
+}
+
+func TestKnown(t *testing.T) {
+	l := filled()
+	all := l.Known(7)
+	if len(all) != 2 || all[0].N != 21 || all[0].Bad != 5 || all[1].N != 20 || all[1].Bad != 0 {
+		t.Errorf("%+v", all)
+	}
+	if l.Known(8) != nil {
+		t.Error("a build that was never offered is known")
+	}
+	l.Outcome(14*s, 8, 0, 0, true)
+	l.Outcome(14*s, 7, 9, 0, true)
+	l.Flag(14*s, 8, 0, 0, 0)
+	l.Voted(14*s, 8, 0, "go on", "x")
+	if l.Orphans != 4 {
+		t.Errorf("%d orphans", l.Orphans)
+	}
+	l.Offered(15*s, 7, "recalled")
+	l.Flag(900*s, 7, 0, 0, 900*s)
+	if b := l.find(7); b.Late != (Delays{0, 0, 1, 0, 1}) || b.AfterEnd != 1 {
+		t.Errorf("%+v", b)
+	}
+	text := strings.Join(l.Explain(), "\n")
+	for _, want := range []string{"Build 7, recalled", "read: 5 of 21 outcomes failed", "vote to go on at stage 1, because of evidence",
+		"1 of them after it was sent back", "4 reports were on builds"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is not said in\n%s", want, text)
+		}
+	}
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	l := New(make([]string, 1000)[:300], 0.05)
+	for i := range uint16(20) {
+		l.Offered(s, i, "testing")
+		for j := range 300 {
+			l.Outcome(s, i, j, j, true)
+			l.Voted(s, i, j, "hold", "x")
+		}
+	}
+	cells := 0
+	for _, b := range l.builds {
+		cells += len(b.Cells)
+		if len(b.Votes) > mostVotes || b.Dropped != 300-mostVotes {
+			t.Errorf("%d votes, %d dropped", len(b.Votes), b.Dropped)
+		}
+	}
+	if len(l.builds) != mostBuilds || cells > mostBuilds*mostOps*mostWaves {
+		t.Errorf("%d builds, %d cells", len(l.builds), cells)
+	}
+	if l.find(19) == nil || l.find(0) != nil {
+		t.Error("not the newest are kept")
+	}
+}
+
+// TestBoundsHoldAtAllTimes: the share of runs in which the true share is ever outside stays within the level.
+func TestBoundsHoldAtAllTimes(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	for _, p := range []float64{0.01, 0.2, 0.5} {
+		out := 0
+		const runs = 400
+		for range runs {
+			bad := 0.0
+			for n := 1.0; n <= 300; n++ {
+				if r.Float64() < p {
+					bad++
+				}
+				if low, high := Bounds(bad, n, 0.05); p < low || p > high {
+					out++
+					break
+				}
+			}
+		}
+		if out > runs*8/100 { // 5 per cent and three deviations
+			t.Errorf("share %g: outside in %d of %d runs", p, out, runs)
+		}
+	}
+	for _, c := range []struct{ bad, n, low, high float64 }{{0, 0, 0, 1}, {0, 100, 0, 0.07}, {100, 100, 0.93, 1}} {
+		low, high := Bounds(c.bad, c.n, 0.05)
+		if low < c.low-1e-9 || high > c.high+1e-9 {
+			t.Errorf("%g of %g: %g to %g", c.bad, c.n, low, high)
+		}
+	}
+}
+
+func TestAged(t *testing.T) {
+	l := filled()
+	for _, c := range []struct {
+		after  choice.Tick
+		n, bad int
+	}{{0, 21, 5}, {600 * s, 10, 3}, {6000 * s, 1, 1}} {
+		n, bad := l.Aged(12*s+c.after, 7, 600*s)
+		if n[0] != c.n || bad[0] != c.bad {
+			t.Errorf("after %d: %d of %d", c.after/s, bad[0], n[0])
+		}
+	}
+	if n, _ := l.Aged(12*s, 9, s); n != nil {
+		t.Error("another build's outcomes are given")
+	}
+}
+
+func TestSnapshots(t *testing.T) {
+	l := filled()
+	text := l.Snapshot()
+	again := New([]string{"read", "sell"}, 0.05)
+	if err := again.Read(text); err != nil || strings.Join(again.Explain(), "") != strings.Join(l.Explain(), "") {
+		t.Errorf("%v", err)
+	}
+	for cut := range text { // at any byte
+		fresh := New([]string{"read", "sell"}, 0.05)
+		if err := fresh.Read(text[:cut]); !errors.Is(err, ErrDamaged) || len(fresh.builds) != 0 {
+			t.Fatalf("cut at %d: %v", cut, err)
+		}
+	}
+	for i := range text {
+		bad := append([]byte(nil), text...)
+		bad[i] ^= 1
+		fresh := New([]string{"read", "sell"}, 0.05)
+		if err := fresh.Read(bad); err == nil || len(fresh.builds) != 0 {
+			t.Fatalf("byte %d flipped: it is taken", i)
+		}
+	}
+	if err := again.Read([]byte(strings.Replace(string(text), "ledger 1", "ledger 2", 1))); !errors.Is(err, ErrLater) {
+		t.Errorf("%v", err)
+	}
+	if err := New([]string{"read"}, 0.05).Read(text); !errors.Is(err, ErrDamaged) {
+		t.Errorf("one of other op types: %v", err)
+	}
+	path := filepath.Join(t.TempDir(), "ledger")
+	if again.Load(path); again.Lost != "" {
+		t.Error("no file is a loss")
+	}
+	if err := Save(path, text); err != nil {
+		t.Fatal(err)
+	}
+	if of, err := OfFile(path); err != nil || len(of.Known(7)) != 2 {
+		t.Errorf("%v", err)
+	}
+	os.WriteFile(path, text[:len(text)-1], 0o600)
+	if again.Load(path); !strings.Contains(again.Lost, "damaged") || again.find(7) == nil {
+		t.Errorf("lost: %q", again.Lost)
+	}
+	if _, err := OfFile(path); err == nil {
+		t.Error("a damaged one is explained")
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(filled().Snapshot())
+	f.Add([]byte("silvercove-ledger 1 00000000 2\n{}"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		l := New([]string{"read", "sell"}, 0.05)
+		if l.Read(text) == nil {
+			l.Explain()
+			l.Aged(s, 7, s)
+		}
+	})
+}
