--- a/cmd/covectl/lab.go
+++ b/cmd/covectl/lab.go
@@ -13,6 +13,7 @@
 	Run      labRunCmd      `cmd:"" help:"Run an experiment of simulated rollouts."`
 	Sweep    labSweepCmd    `cmd:"" help:"Run an experiment for each of several values of a directive."`
 	Compare  labCompareCmd  `cmd:"" help:"Set two results side by side, and say what is noise."`
+	Loopback labLoopbackCmd `cmd:"" help:"Play rollouts with real relays on loopback, and the same in the model."`
 	Report   labReportCmd   `cmd:"" help:"Write results as a page with plots, or as plain text."`
 	Metadata labMetadataCmd `cmd:"" help:"Measure the metadata front, its floor and its verification."`
 }
--- a/cmd/covectl/main.go
+++ b/cmd/covectl/main.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
+	"strings"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -52,8 +54,8 @@
 		return err
 	}
 	on := "nothing is switched on"
-	if all["metadata"] != nil {
-		on = "metadata is switched on"
+	if blocks := slices.DeleteFunc([]string{"metadata", "verdicts"}, func(b string) bool { return all[b] == nil }); len(blocks) > 0 {
+		on = "switched on: " + strings.Join(blocks, ", ")
 	}
 	fmt.Printf("%s: in order; %s\n", c.File, on)
 	return nil
--- a/cmd/covectl/rollouts.go
+++ b/cmd/covectl/rollouts.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	lab.Print(os.Stdout, all, e.FalseAlarms, e.Misses)
+	lab.Print(os.Stdout, "Simulated rollouts", all, e.FalseAlarms, e.Misses)
 	return nil
 }
 
@@ -96,7 +96,7 @@
 			return err
 		}
 		fmt.Printf("%s %s\n", c.Name, v)
-		lab.Print(os.Stdout, all, e.FalseAlarms, e.Misses)
+		lab.Print(os.Stdout, "Simulated rollouts", all, e.FalseAlarms, e.Misses)
 	}
 	return nil
 }
@@ -155,7 +155,7 @@
 			return err
 		}
 	}
-	print := func(w io.Writer) error { lab.Print(w, all, c.FalseAlarms, c.Misses); return nil }
+	print := func(w io.Writer) error { lab.Print(w, c.Title, all, c.FalseAlarms, c.Misses); return nil }
 	if c.Text != "" {
 		return to(c.Text, print)
 	}
@@ -177,3 +177,30 @@
 	}
 	return full(out.Close())
 }
+
+type labLoopbackCmd struct {
+	File     string `arg:"" type:"existingfile" help:"The experiment's file."`
+	Rollouts int    `default:"6" help:"Of each package."`
+	Width    int    `default:"6" help:"Rollouts at once; each has real relays, units and clients."`
+}
+
+// Run plays rollouts with real relays and in the model.
+func (c *labLoopbackCmd) Run() error {
+	e, err := lab.ReadExperiment(c.File, "")
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	terminal := term.IsTerminal(int(os.Stderr.Fd()))
+	sockets, err := e.Loopbacks(ctx, c.Rollouts, c.Width, os.Stdout, func(done, of int) {
+		if terminal {
+			fmt.Fprintf(os.Stderr, "\r%d of %d rollouts ", done, of)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	lab.Print(os.Stdout, "Rollouts with real relays on loopback, stand-in units and platform", sockets, e.FalseAlarms, e.Misses)
+	return nil
+}
--- a/cmd/covectl/verdict.go
+++ b/cmd/covectl/verdict.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -60,7 +62,8 @@
 		fmt.Fprintf(w, "wave %d\t", i+1)
 	}
 	fmt.Fprintln(w)
-	for name, rate := range c.Rates {
+	for _, name := range slices.Sorted(maps.Keys(c.Rates)) {
+		rate := c.Rates[name]
 		fmt.Fprintf(w, "%s\t%g\t", name, rate)
 		for _, cap := range c.Caps {
 			took := middle / (rate * cap * 0.9 / float64(c.Relays))
--- a/cmd/silvercove/main_test.go
+++ b/cmd/silvercove/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -9,10 +10,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"silvercove/choice"
 )
 
 // desk stands in for the list and the platform at one address: each request line that comes is told.
@@ -203,6 +207,67 @@
 	}
 }
 
+// TestLedgerOutlivesARestart: what was known is written, read again, and said; a damaged file is a stated loss.
+func TestLedgerOutlivesARestart(t *testing.T) {
+	dir := t.TempDir()
+	file, path := filepath.Join(dir, "cove.conf"), filepath.Join(dir, "ledger")
+	if err := os.WriteFile(file, []byte("verdicts {\n ledger ledger\n save 100ms\n evidence_wait 60s\n}\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	news := strings.Replace(stage, "live", "testing", 1)
+	told := func() (told, error) {
+		config := strings.Replace(config("127.0.0.1:1", "127.0.0.1:2", (&desk{unit: "127.0.0.1:9"}).page()), stage, news, 1)
+		if err := os.WriteFile(filepath.Join(dir, "config.json"), []byte(config), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return readTold(func(name string) string {
+			return map[string]string{"NODE_NAME": "n1", "NODE_LISTEN": "127.0.0.1:0", "NODE_DISCOVERY": "127.0.0.1:1",
+				"NODE_CONFIG": filepath.Join(dir, "config.json"), "NODE_OPERATOR": file}[name]
+		})
+	}
+	first, err := told()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if first.settings["rollout.evidence_wait"] != 60.0 {
+		t.Errorf("evidence_wait is %v", first.settings["rollout.evidence_wait"])
+	}
+	r := build(first)
+	r.gate.Hold(func() {
+		for range 30 {
+			r.memory.ledger.Outcome(choice.Tick(time.Now().UnixMicro()/100), 1, 0, 0, false)
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := r.memory.run(ctx, r); err != nil { // writes once more at its end
+		t.Fatal(err)
+	}
+	second, err := told()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r = build(second); len(r.memory.n) != 1 || r.memory.n[0] < 29 || r.memory.build != 1 {
+		t.Errorf("known after a restart: %v of build %d", r.memory.n, r.memory.build)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, text[:len(text)-1], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if r = build(second); r.memory.ledger.Lost == "" || slices.Max(r.memory.n) != 0 {
+		t.Errorf("lost %q, known %v", r.memory.ledger.Lost, r.memory.n)
+	}
+	if err := os.WriteFile(file, []byte("verdict {\n}\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := told(); err == nil || !strings.Contains(err.Error(), "NODE_OPERATOR") {
+		t.Errorf("a refused file: %v", err)
+	}
+}
+
 // TestLean: the relay does not pay for what is heavy.
 func TestLean(t *testing.T) {
 	out, err := exec.Command("go", "list", "-deps", ".").Output()
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -361,10 +361,10 @@
 	return t
 }
 
-// Print writes the rates in plain text.
-func Print(to io.Writer, all []Result, falseAlarms, misses float64) {
+// Print writes the rates in plain text, under a title that says how they came about.
+func Print(to io.Writer, title string, all []Result, falseAlarms, misses float64) {
 	lines := Sum(all)
-	table("Simulated rollouts", lines).Print(to)
+	table(title, lines).Print(to)
 	f, m := Totals(lines)
 	for _, x := range []struct {
 		what     string
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -122,7 +122,7 @@
 			t.Errorf("the page lacks %q", want)
 		}
 	}
-	Print(&text, all, 0.05, 0.05)
+	Print(&text, "Simulated", all, 0.05, 0.05)
 	if !strings.Contains(text.String(), "misses over all") {
 		t.Error(text.String())
 	}
@@ -153,3 +153,22 @@
 		}
 	}
 }
+
+// TestLoopback: real relays on sockets come to the verdicts that the model comes to.
+func TestLoopback(t *testing.T) {
+	e, err := ReadExperiment("../../deploy/loopback.conf", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.Packages = e.Packages[:2]
+	var b bytes.Buffer
+	all, err := e.Loopbacks(context.Background(), 1, 2, &b, func(int, int) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range all {
+		if r.Released == r.Bad || r.Back != r.Bad || r.Commands < 100 || r.Failed > r.Commands/5 {
+			t.Errorf("%+v", r)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/loopback.go
@@ -0,0 +1,307 @@
+package lab
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"silvercove/internal/clients"
+	"silvercove/internal/gate"
+	"silvercove/internal/link"
+	"silvercove/internal/list"
+	"silvercove/internal/pgwire"
+	"silvercove/internal/platform"
+	"silvercove/internal/standin/fleet"
+	"silvercove/internal/units"
+)
+
+// Loopback plays the rollout with real relays on sockets, beside stand-in units, list and platform, in real time. Of
+// packages it plays failures alone, of conditions none.
+func (r Rollout) Loopback(ctx context.Context) (Result, error) {
+	result := Result{Package: r.Package.Name, Condition: "loopback", Seed: r.Seed, Bad: r.Package.Bad}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration((r.Longest+10)*float64(time.Second)))
+	defer cancel()
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(r.Seed, 7))
+	work := distuv.LogNormal{Mu: -4.6, Sigma: 0.5, Src: rand.NewPCG(r.Seed, 8)} // 10 ms in the middle
+	answer := func(_ *fleet.Unit, op string, build uint16, since time.Time) (bool, time.Duration) {
+		mu.Lock()
+		defer mu.Unlock()
+		fails := r.Base
+		if build == later && time.Since(since).Seconds() >= r.Package.After {
+			fails += r.Package.Errors["all"] + r.Package.Errors[op]
+		}
+		return random.Float64() < fails, time.Duration(work.Rand() * float64(time.Second))
+	}
+	var servers []*fleet.Unit
+	defer func() {
+		for _, u := range servers {
+			u.Close()
+		}
+	}()
+	for i := range r.Units {
+		u, err := fleet.NewUnit(fmt.Sprintf("u-%d", i), earlier, answer)
+		if err != nil {
+			return result, err
+		}
+		servers = append(servers, u)
+	}
+	var parts []float64
+	for _, w := range r.Waves {
+		parts = append(parts, w.Part)
+	}
+	plat, err := fleet.NewPlatform(servers, earlier, parts, time.Duration(r.Bake*float64(time.Second)))
+	if err != nil {
+		return result, err
+	}
+	defer plat.Close()
+	group, inner := errgroup.WithContext(ctx)
+	inner, stop := context.WithCancel(inner)
+	defer stop()
+	var commands, failed atomic.Int64
+	for i := range r.Relays {
+		n, err := r.node(i, plat)
+		if err != nil {
+			stop()
+			group.Wait()
+			return result, err
+		}
+		group.Go(func() error { return n.run(inner) })
+		group.Go(func() error { return r.clients(inner, i, n.address(), &commands, &failed) })
+	}
+	group.Go(func() error {
+		defer stop()
+		warm := time.NewTimer(2 * time.Second)
+		defer warm.Stop()
+		select {
+		case <-warm.C:
+		case <-inner.Done():
+			return nil
+		}
+		plat.Offer(inner, later, time.Duration(r.Watch*float64(time.Second)))
+		return nil
+	})
+	err = group.Wait()
+	result.Waves, result.Released, result.Back = plat.Advanced, plat.Released, plat.Back
+	result.Verdict = plat.Verdict.Seconds()
+	result.Undecided = !plat.Released && !plat.Back
+	result.Commands, result.Failed = int(commands.Load()), int(failed.Load())
+	return result, err
+}
+
+// real is one relay with all its parts.
+type real struct {
+	gate     *gate.Gate
+	pools    *units.Pools
+	front    *clients.Front
+	watch    *list.Watch
+	desk     *platform.Desk
+	listener net.Listener
+}
+
+func (r Rollout) node(no int, plat *fleet.Platform) (*real, error) {
+	n := &real{}
+	set := (&model{Rollout: r}).settings()
+	set["discovery"] = "automatic"
+	set["limits.connect_timeout"] = 0.5
+	room := link.NewRoom(16 << 20)
+	quiet := func(string) {}
+	n.watch = list.New(link.NewPlace(plat.Address()), 0, time.Second, time.Second/2, room, quiet)
+	n.desk = platform.New(link.NewPlace(plat.Address()), time.Second, room, quiet)
+	n.gate = gate.New(r.Seed<<8^uint64(no), set, gate.Hands{Vote: n.desk.Vote, Watch: n.watch.On, Fetch: n.watch.Fetch,
+		Log: quiet, Probe: func(u gate.Unit) { n.pools.Probe(u) }, CloseIdle: func(name string) { n.pools.CloseIdle(name) }})
+	n.pools = units.New(room, 256, time.Second/2, 5*time.Second, n.gate)
+	n.front = clients.New(n.gate, n.pools, room, 256, 2*time.Second, time.Second)
+	_, _, hosts, err := list.Read([]byte(plat.Page()))
+	if err != nil {
+		return nil, err
+	}
+	n.gate.List(true, hosts)
+	stage, err := platform.ReadStage(json.RawMessage(plat.Stage()))
+	if err != nil {
+		return nil, err
+	}
+	n.gate.Told(stage)
+	n.listener, err = net.Listen("tcp", "127.0.0.1:0")
+	return n, err
+}
+
+func (n *real) address() string { return n.listener.Addr().String() }
+
+// run runs a relay until the context ends.
+func (n *real) run(ctx context.Context) error {
+	var group errgroup.Group
+	group.Go(func() error { return n.gate.Tick(ctx) })
+	group.Go(func() error { return n.pools.Run(ctx) })
+	group.Go(func() error { return n.watch.Run(ctx, n.gate, true) })
+	group.Go(func() error { return n.desk.Run(ctx, n.gate) })
+	group.Go(func() error { return n.front.Serve(n.listener) })
+	group.Go(func() error {
+		<-ctx.Done()
+		n.front.Wind()
+		return n.listener.Close()
+	})
+	group.Wait() // its front ends with the listener
+	return nil
+}
+
+// clients asks a relay as often as the rate says, over a few sessions.
+func (r Rollout) clients(ctx context.Context, no int, address string, commands, failed *atomic.Int64) error {
+	const sessions = 16
+	due := make(chan int, sessions)
+	var group errgroup.Group
+	group.Go(func() error {
+		defer close(due)
+		random := rand.New(rand.NewPCG(r.Seed, uint64(100+no)))
+		gap := distuv.Exponential{Rate: r.Rate / float64(r.Relays), Src: rand.NewPCG(r.Seed, uint64(200+no))}
+		for at := time.Now(); ctx.Err() == nil; {
+			at = at.Add(time.Duration(gap.Rand() * float64(time.Second)))
+			timer := time.NewTimer(time.Until(at))
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+				timer.Stop()
+				return nil
+			}
+			draw, op := random.Float64(), 0
+			for draw >= r.Ops[op].Share && op < len(r.Ops)-1 {
+				draw -= r.Ops[op].Share
+				op++
+			}
+			select {
+			case due <- op:
+			default: // all sessions wait: counted, as its client would be
+				commands.Add(1)
+				failed.Add(1)
+			}
+		}
+		return nil
+	})
+	for s := range sessions {
+		group.Go(func() error {
+			var c net.Conn
+			defer func() {
+				if c != nil {
+					c.Close()
+				}
+			}()
+			n := 0
+			for op := range due {
+				n++
+				commands.Add(1)
+				fine := false
+				if c == nil {
+					c = session(address)
+				}
+				if c != nil {
+					id := fmt.Sprintf("%x-%x-%x", no, s, n)
+					var ok bool
+					if fine, ok = query(c, r.Ops[op].Name, id); !ok {
+						c.Close()
+						c = nil
+					}
+				}
+				if !fine && ctx.Err() == nil {
+					failed.Add(1)
+				}
+			}
+			return nil
+		})
+	}
+	return group.Wait()
+}
+
+// session opens a session up to its readiness.
+func session(address string) net.Conn {
+	c, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return nil
+	}
+	if _, err := c.Write(pgwire.Hail()); err != nil {
+		c.Close()
+		return nil
+	}
+	if _, ok := answered(c); !ok {
+		c.Close()
+		return nil
+	}
+	return c
+}
+
+// query asks one command. ok: the session goes on.
+func query(c net.Conn, op, id string) (fine, ok bool) {
+	text := fmt.Sprintf("SELECT content FROM kv WHERE name = 'k' /* id=%s,c=%s,t=a,d=2000 */", id, op)
+	if _, err := c.Write(pgwire.Simple(text)); err != nil {
+		return false, false
+	}
+	return answered(c)
+}
+
+// answered reads messages up to readiness; fine: none of them was an error.
+func answered(c net.Conn) (fine, ok bool) {
+	c.SetReadDeadline(time.Now().Add(3 * time.Second))
+	fine = true
+	head := make([]byte, 5)
+	for {
+		if _, err := io.ReadFull(c, head); err != nil {
+			return false, false
+		}
+		size := int64(binary.BigEndian.Uint32(head[1:])) - 4
+		if size < 0 || size > 1<<20 {
+			return false, false
+		}
+		if _, err := io.CopyN(io.Discard, c, size); err != nil {
+			return false, false
+		}
+		switch head[0] {
+		case 'E':
+			fine = false
+		case 'Z':
+			return fine, true
+		}
+	}
+}
+
+// Loopbacks plays an experiment's packages without conditions, so many rollouts of each, both with real relays on
+// sockets (width at once) and in the model, and sets them side by side.
+func (e Experiment) Loopbacks(ctx context.Context, rollouts, width int, to io.Writer, progress func(done, of int)) ([]Result, error) {
+	var list []Rollout
+	for _, p := range e.Packages {
+		if p.Wrong > 0 || p.Slow > 0 { // of these the stand-in units know nothing
+			continue
+		}
+		for i := range rollouts {
+			r := e.Rollout
+			r.Package, r.Condition, r.Seed = p, Condition{Name: "loopback"}, uint64(i+1)
+			list = append(list, r)
+		}
+	}
+	sockets, model := make([]Result, len(list)), make([]Result, len(list))
+	group, inner := errgroup.WithContext(ctx)
+	group.SetLimit(width)
+	var done atomic.Int64
+	for i, r := range list {
+		group.Go(func() (err error) {
+			sockets[i], err = r.Loopback(inner)
+			progress(int(done.Add(1)), len(list))
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	for i, r := range list {
+		model[i] = r.Run()
+	}
+	return sockets, Compare(to, "sockets", "model", sockets, model)
+}
--- /dev/null
+++ b/internal/standin/fleet/fleet.go
@@ -0,0 +1,434 @@
+// Package fleet stands in for what a relay deals with: units that speak PostgreSQL's wire protocol, the agent that tells
+// their list, and the platform that takes votes and moves a package on or back. All on loopback. The frames are
+// written from the protocol's documentation (PostgreSQL 15, "Message Formats").
+package fleet
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"silvercove/internal/pgwire"
+)
+
+// Unit is one server.
+type Unit struct {
+	Name     string
+	listener net.Listener
+	answer   func(u *Unit, opType string, build uint16, since time.Time) (fails bool, took time.Duration)
+	done     sync.WaitGroup
+
+	mu    sync.Mutex
+	build uint16
+	start time.Time
+	state string
+	conns map[net.Conn]bool
+	ended bool
+}
+
+// NewUnit starts a unit on a build. answer says how each query goes: whether it fails, and how long it takes.
+func NewUnit(name string, build uint16, answer func(u *Unit, opType string, build uint16, since time.Time) (bool, time.Duration)) (*Unit, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	u := &Unit{Name: name, listener: l, answer: answer, build: build, state: "up", conns: map[net.Conn]bool{}}
+	u.done.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			u.mu.Lock()
+			if u.ended || u.state != "up" {
+				u.mu.Unlock()
+				c.Close()
+				continue
+			}
+			u.conns[c] = true
+			u.mu.Unlock()
+			u.done.Go(func() { u.serve(c) })
+		}
+	})
+	return u, nil
+}
+
+// Close ends it.
+func (u *Unit) Close() {
+	u.mu.Lock()
+	u.ended = true
+	u.drop()
+	u.mu.Unlock()
+	u.listener.Close()
+	u.done.Wait()
+}
+
+func (u *Unit) drop() {
+	for c := range u.conns {
+		c.Close()
+	}
+	clear(u.conns)
+}
+
+// Set puts it into a state: up, draining or removed. Up on another build is another process.
+func (u *Unit) Set(state string, build uint16) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if state == "up" && (build != u.build || u.state == "removed") {
+		u.build, u.start = build, time.Now()
+		u.drop()
+	}
+	if state == "removed" {
+		u.drop()
+	}
+	u.state = state
+}
+
+// Build is what it runs.
+func (u *Unit) Build() uint16 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.build
+}
+
+func frame(kind byte, body string) string {
+	return string(binary.BigEndian.AppendUint32([]byte{kind}, uint32(4+len(body)))) + body
+}
+
+var row = frame('T', "\x00\x01content\x00"+strings.Repeat("\x00", 18)) + frame('D', "\x00\x01\x00\x00\x00\x02hi") +
+	frame('C', "SELECT 1\x00")
+
+func (u *Unit) serve(c net.Conn) {
+	defer func() {
+		c.Close()
+		u.mu.Lock()
+		delete(u.conns, c)
+		u.mu.Unlock()
+	}()
+	var buf []byte
+	more := func() bool {
+		b := make([]byte, 4<<10)
+		n, err := c.Read(b)
+		buf = append(buf, b[:n]...)
+		return err == nil
+	}
+	for {
+		_, size, err := pgwire.Startup(buf)
+		if err != nil {
+			return
+		}
+		if size > 0 {
+			buf = buf[size:]
+			break
+		}
+		if !more() {
+			return
+		}
+	}
+	if _, err := c.Write(pgwire.Hello()); err != nil {
+		return
+	}
+	for {
+		kind, size, err := pgwire.FromClient(buf)
+		if err != nil || kind == 'X' {
+			return
+		}
+		if size == 0 || len(buf) < size {
+			if !more() {
+				return
+			}
+			continue
+		}
+		text := strings.TrimSuffix(string(buf[5:size]), "\x00")
+		buf = buf[size:]
+		q, fault := pgwire.ParseQuery([]byte(text))
+		if fault != nil {
+			c.Write(append(pgwire.Problem("ERROR", fault.Code, fault.Text, ""), pgwire.Ready()...))
+			continue
+		}
+		u.mu.Lock()
+		build, since := u.build, u.start
+		u.mu.Unlock()
+		fails, took := u.answer(u, q.OpType, build, since)
+		time.Sleep(took) // its work
+		out := row
+		if fails {
+			out = string(pgwire.Problem("ERROR", "XX000", "by script", ""))
+		}
+		if _, err := io.WriteString(c, out+string(pgwire.Ready())); err != nil {
+			return
+		}
+	}
+}
+
+// Platform is the list's agent and the platform at one address.
+type Platform struct {
+	Units    []*Unit
+	Waves    []float64 // parts of the fleet, which are the caps too
+	Bake     time.Duration
+	server   *http.Server
+	listener net.Listener
+	done     sync.WaitGroup
+
+	mu       sync.Mutex
+	seq      int64
+	changed  chan struct{} // closed when anything has changed
+	Build    uint16
+	wave     int
+	state    string
+	began    time.Time
+	pending  bool
+	Advanced int
+	Released bool
+	Back     bool
+	Verdict  time.Duration // from the first wave on
+	first    time.Time
+}
+
+// NewPlatform starts one with its units, all on the earlier build, which is released.
+func NewPlatform(units []*Unit, build uint16, waves []float64, bake time.Duration) (*Platform, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Platform{Units: units, Waves: waves, Bake: bake, listener: l, seq: 1, changed: make(chan struct{}), Build: build,
+		state: "live"}
+	p.server = &http.Server{Handler: p}
+	p.done.Go(func() { p.server.Serve(l) })
+	return p, nil
+}
+
+// Address is where it listens.
+func (p *Platform) Address() string { return p.listener.Addr().String() }
+
+// Close ends it.
+func (p *Platform) Close() {
+	p.server.Close()
+	p.done.Wait()
+}
+
+func (p *Platform) change() {
+	p.seq++
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// Page is the list as the agent words it.
+func (p *Platform) Page() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.page()
+}
+
+func (p *Platform) page() string {
+	type host struct {
+		Host   string  `json:"host"`
+		Dial   string  `json:"dial"`
+		Site   string  `json:"site"`
+		Health string  `json:"health"`
+		Share  float64 `json:"share"`
+		Born   int64   `json:"born_ms"`
+		Build  uint16  `json:"image_id"`
+	}
+	hosts := []host{}
+	for _, u := range p.Units {
+		u.mu.Lock()
+		h := host{u.Name, u.listener.Addr().String(), "z", u.state, 1, 0, u.build}
+		if !u.start.IsZero() {
+			h.Born = u.start.UnixMilli()
+		}
+		u.mu.Unlock()
+		hosts = append(hosts, h)
+	}
+	text, _ := json.Marshal(map[string]any{"seq": p.seq, "whole": true, "hosts": hosts})
+	return string(text)
+}
+
+// Stage is where the newest package stands, as the platform words it.
+func (p *Platform) Stage() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stage()
+}
+
+func (p *Platform) stage() string {
+	share := 1.0
+	switch p.state {
+	case "testing":
+		share = p.Waves[p.wave]
+	case "recalling", "recalled":
+		share = 0
+	}
+	text, _ := json.Marshal(map[string]any{"Revision": p.Build, "Wave": p.wave, "State": p.state, "MaxShare": share,
+		"AgeMs": float64(time.Since(p.began).Milliseconds())})
+	if p.began.IsZero() {
+		return fmt.Sprintf(`{"Revision":%d,"Wave":0,"State":"live","MaxShare":1.0,"AgeMs":0}`, p.Build)
+	}
+	return string(text)
+}
+
+// ServeHTTP answers for the agent and for the platform.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	switch req.URL.Path {
+	case "/v1/servers":
+		since, _ := strconv.ParseInt(req.URL.Query().Get("since"), 10, 64)
+		limit, _ := strconv.Atoi(req.URL.Query().Get("timeout_ms"))
+		p.mu.Lock()
+		if req.URL.Query().Has("since") && since >= p.seq {
+			changed := p.changed
+			p.mu.Unlock()
+			select {
+			case <-changed:
+			case <-time.After(time.Duration(limit) * time.Millisecond):
+			case <-req.Context().Done():
+				return
+			}
+			p.mu.Lock()
+		}
+		text := p.page()
+		p.mu.Unlock()
+		io.WriteString(w, text)
+	case "/changes":
+		for flush := http.NewResponseController(w); ; {
+			p.mu.Lock()
+			text, changed := p.stage(), p.changed
+			p.mu.Unlock()
+			if _, err := io.WriteString(w, `{"type":"stage","object":`+text+"}\n"); err != nil || flush.Flush() != nil {
+				return
+			}
+			select {
+			case <-changed:
+			case <-time.After(200 * time.Millisecond): // a sign of life
+			case <-req.Context().Done():
+				return
+			}
+		}
+	case "/judgements":
+		var v struct {
+			Revision uint16
+			Wave     int
+			Decision string
+		}
+		if json.NewDecoder(req.Body).Decode(&v) != nil {
+			http.Error(w, "no vote", http.StatusBadRequest)
+			return
+		}
+		p.mu.Lock()
+		counts := v.Revision == p.Build && (p.state == "testing" && v.Wave == p.wave || p.state == "live")
+		if counts {
+			p.vote(v.Decision)
+		}
+		text := p.stage()
+		p.mu.Unlock()
+		if !counts {
+			w.WriteHeader(http.StatusConflict)
+		}
+		io.WriteString(w, text)
+	default:
+		http.NotFound(w, req)
+	}
+}
+
+// vote acts on a vote, as one decides.
+func (p *Platform) vote(decision string) {
+	switch {
+	case decision == "ROLLBACK" && !p.Back:
+		p.Back = true
+		p.verdict()
+		p.state = "recalling"
+		p.change()
+	case decision == "PROCEED" && p.state == "testing":
+		p.pending = true
+	}
+}
+
+func (p *Platform) verdict() {
+	if p.Verdict == 0 {
+		p.Verdict = time.Since(p.first)
+	}
+}
+
+// Offer rolls a package out, wave by wave as votes say, until it is released and watched for a while, taken back, or
+// the context ends.
+func (p *Platform) Offer(ctx context.Context, build uint16, watch time.Duration) {
+	p.mu.Lock()
+	p.Build, p.first = build, time.Now()
+	p.mu.Unlock()
+	for wave := range p.Waves {
+		p.mu.Lock()
+		p.wave, p.state, p.began, p.pending = wave, "testing", time.Now(), false
+		p.change()
+		p.mu.Unlock()
+		if !p.replace(ctx, build, int(p.Waves[wave]*float64(len(p.Units))+0.999)) {
+			return
+		}
+		for {
+			p.mu.Lock()
+			on, back := p.pending && time.Since(p.began) >= p.Bake, p.Back
+			p.mu.Unlock()
+			if back {
+				return
+			}
+			if on {
+				break
+			}
+			if !pause(ctx, 5*time.Millisecond) {
+				return
+			}
+		}
+		p.mu.Lock()
+		p.Advanced++
+		p.mu.Unlock()
+	}
+	p.mu.Lock()
+	p.state, p.Released = "live", true
+	p.verdict()
+	p.change()
+	p.mu.Unlock()
+	pause(ctx, watch)
+}
+
+// replace has units run a build until so many do.
+func (p *Platform) replace(ctx context.Context, build uint16, upTo int) bool {
+	var moved []*Unit
+	has := 0
+	for _, u := range p.Units {
+		if u.Build() == build {
+			has++
+		} else if has+len(moved) < upTo {
+			moved = append(moved, u)
+		}
+	}
+	set := func(state string, to uint16) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for _, u := range moved {
+			u.Set(state, to)
+		}
+		p.change()
+	}
+	const grace = time.Second
+	set("draining", 0)
+	if !pause(ctx, grace) {
+		return false
+	}
+	set("up", build)
+	return true
+}
+
+func pause(ctx context.Context, span time.Duration) bool {
+	select {
+	case <-time.After(span):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
