Match path hash prefixes in hexadecimal; a new mirror is cold by the gate's clock

The specification (4.5) names prefixes of path hashes in hexadecimal, the library compares them in Base64, so such delegations were never followed: trust matches them itself. A mirror added by a reload was dated by the metadata's clock and could count as warm; it is dated by the gate's. TestColdMirror: in its first second a new mirror gets less than half of what a warm one gets.

--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -179,7 +179,7 @@
 		v := m.all[op].([]any)
 		types = append(types, map[string]any{"name": op, "service_target": v[0], "command_timeout": v[1], "importance": v[2]})
 	}
-	hosts := mirrors(r, nil, m.now())
+	hosts := mirrors(r, nil, time.Now())
 	host, _ := os.Hostname()
 	rules := exchange.Rules(m.all["relays"].(float64), m.all["connect_timeout"].(float64),
 		m.all["max_come_back"].(float64), types)
@@ -398,7 +398,7 @@
 	for _, v := range next["repository"].([]any) {
 		r := v.(map[string]any)
 		if name := r["name"].(string); r["discovery"] == nil {
-			m.repos[name].List(mirrors(r, old[name], m.now()))
+			m.repos[name].List(mirrors(r, old[name], time.Now())) // the gate's clock
 		}
 	}
 	if d != nil {
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -594,3 +594,34 @@
 	}
 	w.clean()
 }
+
+// TestColdMirror: one that is new gets little in its first second, however many ask.
+func TestColdMirror(t *testing.T) {
+	w := newWorld(t, 3, repo.Life{})
+	w.must(w.keeper.Add("app/1.tar", 1, content(20_000, 1)))
+	cold := w.mirrors[2]
+	w.mirrors, w.states = w.mirrors[:2], w.states[:2]
+	w.start()
+	w.until("it is current", func() bool { return w.current("c") == nil })
+	ask := func(span time.Duration) {
+		var all sync.WaitGroup
+		for i := range 8 {
+			all.Go(func() {
+				for end := time.Now().Add(span); time.Now().Before(end); {
+					w.get(fmt.Sprint("c", i), "/r/image/targets/app/1.tar")
+				}
+			})
+		}
+		all.Wait()
+	}
+	ask(1500 * time.Millisecond)
+	w.mirrors, w.states = append(w.mirrors, cold), append(w.states, "up")
+	warm := len(w.mirrors[0].Asked())
+	w.reload()
+	ask(time.Second)
+	got, others := len(cold.Asked()), len(w.mirrors[0].Asked())-warm
+	if got == 0 || got > others/2 {
+		t.Errorf("the new mirror was asked %d times in its first second, a warm one %d times", got, others)
+	}
+	w.clean()
+}
--- a/internal/trust/current.go
+++ b/internal/trust/current.go
@@ -296,7 +296,7 @@
 			continue
 		}
 		var on []string
-		for _, to := range h.Signed.Delegations.GetRolesForTarget(path) {
+		for _, to := range responsible(h.Signed.Delegations, path) {
 			on = append(on, to.Name)
 			if to.Terminating {
 				stack = nil // nothing else may vouch for it
@@ -309,6 +309,29 @@
 	return nil, "", r.refuse(Unnamed, metadata.TARGETS, "nothing vouches for %s", path)
 }
 
+// responsible are the roles that delegations name for a path, in their order. Prefixes of the path's hash are
+// hexadecimal (specification 4.5); the library compares them with Base64, so that is not relied on.
+func responsible(d *metadata.Delegations, path string) (roles []metadata.RoleResult) {
+	if d.SuccinctRoles != nil {
+		return d.SuccinctRoles.GetRolesForTarget(path)
+	}
+	sum := sha256.Sum256([]byte(path))
+	digest := hex.EncodeToString(sum[:])
+	for _, to := range d.Roles {
+		fits := false
+		if len(to.Paths) > 0 {
+			fits, _ = to.IsDelegatedPath(path)
+		}
+		for _, prefix := range to.PathHashPrefixes {
+			fits = fits || len(to.Paths) == 0 && strings.HasPrefix(digest, prefix)
+		}
+		if fits {
+			roles = append(roles, metadata.RoleResult{Name: to.Name, Terminating: to.Terminating})
+		}
+	}
+	return roles
+}
+
 func target(path, role string, is *metadata.TargetFiles) *Target {
 	t := &Target{Path: path, Length: is.Length, Role: role}
 	copy(t.Sum[:], is.Hashes["sha256"])
--- a/internal/trust/trust_test.go
+++ b/internal/trust/trust_test.go
@@ -304,6 +304,11 @@
 	}
 }
 
+func prefixOf(path string) string {
+	sum := sha256.Sum256([]byte(path))
+	return hex.EncodeToString(sum[:1])
+}
+
 func TestDelegations(t *testing.T) {
 	for _, c := range []struct {
 		name  string
@@ -315,6 +320,9 @@
 		{"one that does not match is passed over", metadata.DelegatedRole{Name: "a", Paths: []string{"lib/*"}}, "app/x", "b"},
 		{"one that matches and lacks it is passed over", metadata.DelegatedRole{Name: "a", Paths: []string{"app/*"}}, "app/y", "b"},
 		{"unless it is terminating", metadata.DelegatedRole{Name: "a", Paths: []string{"app/*"}, Terminating: true}, "app/y", ""},
+		{"by the hash of its path, in hexadecimal", metadata.DelegatedRole{Name: "a",
+			PathHashPrefixes: []string{prefixOf("app/x")}}, "app/x", "a"},
+		{"not by another hash", metadata.DelegatedRole{Name: "a", PathHashPrefixes: []string{"zz"}}, "app/x", "b"},
 		{"a star does not cross a folder", metadata.DelegatedRole{Name: "a", Paths: []string{"*"}}, "app/x", "b"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
