--- /dev/null
+++ b/internal/list/list_test.go
@@ -0,0 +1,209 @@
+package list
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"silvercove/internal/gate"
+	"silvercove/internal/link"
+	"silvercove/internal/standin/fleet"
+)
+
+const host = `{"host":"s-1","dial":"127.0.0.1:9","health":"up","share":1,"born_ms":0,"image_id":1}`
+
+func TestRead(t *testing.T) {
+	for _, c := range []struct {
+		text  string
+		hosts int // -1: refused
+	}{
+		{`{"seq":3,"whole":true,"hosts":[` + host + `]}`, 1}, {`{"seq":0,"hosts":[]}`, 0},
+		{`{"hosts":[]}`, -1}, {`{"seq":3}`, -1}, {`{"seq":"x","hosts":[]}`, -1}, {`{`, -1}, {``, -1}, {`[]`, -1},
+		{`{"seq":3,"hosts":[` + strings.Replace(host, "up", "asleep", 1) + `]}`, -1},
+		{`{"seq":3,"hosts":[` + strings.Replace(host, "s-1", "", 1) + `]}`, -1},
+		{`{"seq":3,"hosts":[` + strings.Replace(host, `"born_ms":0`, `"born_ms":-1`, 1) + `]}`, -1},
+		{`{"seq":3,"hosts":[` + strings.Replace(host, `"image_id":1`, `"image_id":65536`, 1) + `]}`, -1},
+	} {
+		_, _, hosts, err := Read([]byte(c.text))
+		if (err != nil) != (c.hosts < 0) || err == nil && len(hosts) != c.hosts {
+			t.Errorf("%s: %d hosts, %v", c.text, len(hosts), err)
+		}
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(`{"seq":3,"whole":true,"hosts":[` + host + `]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		_, _, hosts, err := Read(text)
+		for _, h := range hosts {
+			if err != nil || !h.Fits() {
+				t.Errorf("%+v, %v", h, err)
+			}
+		}
+	})
+}
+
+// watched runs a watch at an address; each list that the gate takes is told.
+func watched(t *testing.T, address string) (w *Watch, place *link.Place, lists chan []gate.Host) {
+	t.Helper()
+	lists = make(chan []gate.Host, 256)
+	place = link.NewPlace(address)
+	w = New(place, 0, 300*time.Millisecond, 200*time.Millisecond, link.NewRoom(1<<20), func(string) {})
+	op := map[string]any{"name": "a", "service_target": 1.0}
+	g := gate.New(1, map[string]any{"op_types": []map[string]any{op}}, gate.Hands{Log: func(string) {}, CloseIdle: func(string) {},
+		Watch: w.On, Fetch: w.Fetch, Hosts: func(_ bool, hosts []gate.Host) { lists <- hosts }})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- w.Run(ctx, g, true) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return w, place, lists
+}
+
+// until reads lists until one is as it should be.
+func until(t *testing.T, lists chan []gate.Host, what string, holds func([]gate.Host) bool) {
+	t.Helper()
+	for timer := time.After(10 * time.Second); ; {
+		select {
+		case hosts := <-lists:
+			if holds(hosts) {
+				return
+			}
+		case <-timer:
+			t.Fatalf("no list: %s", what)
+		}
+	}
+}
+
+func platform(t *testing.T, name string) (*fleet.Platform, *fleet.Unit) {
+	t.Helper()
+	u, err := fleet.NewUnit(name, 1, func(*fleet.Unit, string, uint16, time.Time) (bool, time.Duration) { return false, 0 })
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := fleet.NewPlatform([]*fleet.Unit{u}, 1, []float64{1}, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.Close(); u.Close() })
+	return p, u
+}
+
+func TestWatchFollowsChangesAndMoves(t *testing.T) {
+	first, u := platform(t, "one")
+	second, _ := platform(t, "two")
+	w, place, lists := watched(t, first.Address())
+	until(t, lists, "the unit is up", func(h []gate.Host) bool { return len(h) == 1 && h[0].Name == "one" && h[0].State == "up" })
+	u.Set("draining", 0)
+	first.Changed()
+	until(t, lists, "it drains", func(h []gate.Host) bool { return h[0].State == "draining" })
+	place.Move(second.Address())
+	until(t, lists, "the other agent's list", func(h []gate.Host) bool { return h[0].Name == "two" })
+	second.Close()
+	for end := time.Now().Add(10 * time.Second); w.Failures.Load() < 2; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("a dead agent is not found out")
+		}
+	}
+	place.Move(first.Address())
+	until(t, lists, "the first agent's list again", func(h []gate.Host) bool { return h[0].Name == "one" })
+}
+
+// TestBadAgents: what an agent says wrongly changes nothing, is counted, and the watch goes on.
+func TestBadAgents(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		bad  func(w http.ResponseWriter)
+	}{
+		{"an error", func(w http.ResponseWriter) { http.Error(w, "no", 500) }},
+		{"no JSON", func(w http.ResponseWriter) { fmt.Fprint(w, "{") }},
+		{"no list", func(w http.ResponseWriter) { fmt.Fprint(w, `{"seq":9}`) }},
+		{"a unit that makes no sense", func(w http.ResponseWriter) {
+			fmt.Fprint(w, `{"seq":9,"hosts":[{"host":"x","dial":"y","health":"ill"}]}`)
+		}},
+		{"a body without an end", func(w http.ResponseWriter) {
+			for junk := make([]byte, 1<<16); ; {
+				if _, err := w.Write(junk); err != nil {
+					return
+				}
+			}
+		}},
+		{"half an answer", func(w http.ResponseWriter) {
+			w.Header().Set("Content-Length", "1000")
+			fmt.Fprint(w, `{"seq":9`)
+			panic(http.ErrAbortHandler)
+		}},
+		{"silence", func(w http.ResponseWriter) { time.Sleep(time.Second) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var bad atomic.Bool
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+				if bad.Load() {
+					c.bad(w)
+					return
+				}
+				fmt.Fprint(w, `{"seq":3,"whole":true,"hosts":[`+host+`]}`)
+			}))
+			t.Cleanup(s.Close)
+			w, _, lists := watched(t, s.Listener.Addr().String())
+			until(t, lists, "a good one", func(h []gate.Host) bool { return len(h) == 1 })
+			bad.Store(true)
+			for end := time.Now().Add(10 * time.Second); w.Failures.Load() < 2; time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatal("it is not found out")
+				}
+			}
+			for len(lists) > 0 {
+				if h := <-lists; len(h) != 1 || h[0].Name != "s-1" {
+					t.Errorf("a list of %+v was taken", h)
+				}
+			}
+			bad.Store(false)
+			until(t, lists, "a good one again", func(h []gate.Host) bool { return len(h) == 1 })
+		})
+	}
+}
+
+// TestOnRequest: without a watch nothing is asked but what Fetch wants.
+func TestOnRequest(t *testing.T) {
+	var asked atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		asked.Add(1)
+		if req.URL.Query().Has("since") {
+			time.Sleep(50 * time.Millisecond)
+		}
+		fmt.Fprint(w, `{"seq":3,"whole":true,"hosts":[`+host+`]}`)
+	}))
+	t.Cleanup(s.Close)
+	w, _, lists := watched(t, s.Listener.Addr().String())
+	until(t, lists, "one", func([]gate.Host) bool { return true })
+	w.On(false)
+	w.On(true)
+	w.On(false) // the last word counts
+	for {       // what is under way still comes
+		select {
+		case <-lists:
+			continue
+		case <-time.After(500 * time.Millisecond):
+		}
+		break
+	}
+	before := asked.Load()
+	w.Fetch()
+	until(t, lists, "what was fetched", func([]gate.Host) bool { return true })
+	if n := asked.Load() - before; n != 1 {
+		t.Errorf("asked %d times for one fetch", n)
+	}
+	w.On(true)
+	until(t, lists, "the watch again", func([]gate.Host) bool { return true })
+}
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,199 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"silvercove/choice"
+	"silvercove/internal/gate"
+	"silvercove/internal/link"
+	"silvercove/internal/standin/fleet"
+)
+
+func TestReadStage(t *testing.T) {
+	const good = `{"Revision":7,"Wave":1,"State":"testing","MaxShare":0.3,"AgeMs":1500}`
+	is, err := ReadStage([]byte(good))
+	if err != nil || is != (gate.Stage{Build: 7, Stage: 1, State: "testing", Cap: 0.3, Age: 1500 * time.Millisecond}) {
+		t.Errorf("%+v, %v", is, err)
+	}
+	for _, c := range []struct{ old, put string }{{`"Revision":7,`, ""}, {"testing", "asleep"}, {"0.3", "1.3"}, {"0.3", "-1"},
+		{`"Wave":1`, `"Wave":-1`}, {"1500", "-5"}, {`"Revision":7`, `"Revision":70000`}, {"}", ""}} {
+		if _, err := ReadStage([]byte(strings.Replace(good, c.old, c.put, 1))); err == nil {
+			t.Errorf("%s for %s is taken", c.put, c.old)
+		}
+	}
+}
+
+func FuzzReadStage(f *testing.F) {
+	f.Add([]byte(`{"Revision":7,"Wave":1,"State":"testing","MaxShare":0.3,"AgeMs":1500}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		if s, err := ReadStage(text); err == nil && !s.Fits() {
+			t.Errorf("%+v", s)
+		}
+	})
+}
+
+// desk runs a desk at an address.
+func desk(t *testing.T, address string) (d *Desk, g *gate.Gate, place *link.Place, stages chan gate.Stage) {
+	t.Helper()
+	stages = make(chan gate.Stage, 1024)
+	place = link.NewPlace(address)
+	d = New(place, 400*time.Millisecond, link.NewRoom(1<<20), func(string) {})
+	op := map[string]any{"name": "a", "service_target": 1.0}
+	g = gate.New(1, map[string]any{"op_types": []map[string]any{op}, "rollout.caps": []any{1.0}, "rollout.stage_shares": []any{1.0}},
+		gate.Hands{Log: func(string) {}, CloseIdle: func(string) {}, Watch: func(bool) {}, Fetch: func() {}, Vote: func(gate.Vote) {},
+			Stage: func(s gate.Stage) {
+				select {
+				case stages <- s:
+				default:
+				}
+			}})
+	g.List(true, []gate.Host{{Name: "s-1", Dial: "127.0.0.1:9", State: "up", Build: 1}})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(ctx, g) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return d, g, place, stages
+}
+
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within 10 s: %s", what)
+		}
+	}
+}
+
+func heard(t *testing.T, stages chan gate.Stage, what string, holds func(gate.Stage) bool) {
+	t.Helper()
+	for timer := time.After(10 * time.Second); ; {
+		select {
+		case s := <-stages:
+			if holds(s) {
+				return
+			}
+		case <-timer:
+			t.Fatalf("not heard: %s", what)
+		}
+	}
+}
+
+func TestChangesAndVotes(t *testing.T) {
+	p, err := fleet.NewPlatform(nil, 1, []float64{0.5, 1}, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	d, g, place, stages := desk(t, p.Address())
+	heard(t, stages, "build 1 is live", func(s gate.Stage) bool { return s.Build == 1 && s.State == "live" })
+	ctx, cancel := context.WithCancel(context.Background())
+	offered := make(chan struct{})
+	go func() { defer close(offered); p.Offer(ctx, 2, 0) }()
+	t.Cleanup(func() { cancel(); <-offered })
+	heard(t, stages, "build 2 is tested", func(s gate.Stage) bool { return s.Build == 2 && s.State == "testing" && s.Stage == 0 })
+	d.Vote(gate.Vote{Build: 2, Stage: 5, Verdict: "PROCEED"}) // no such stage
+	until(t, "the vote is moot", func() bool { return g.Snapshot().VoteEndings[choice.Moot] == 1 })
+	d.Vote(gate.Vote{Build: 2, Stage: 0, Verdict: "PROCEED"})
+	heard(t, stages, "it goes on", func(s gate.Stage) bool { return s.Stage == 1 })
+	d.Vote(gate.Vote{Build: 2, Stage: 1, Verdict: "ROLLBACK"})
+	heard(t, stages, "it goes back", func(s gate.Stage) bool { return s.State == "recalling" && s.Cap == 0 })
+	until(t, "both votes are answered", func() bool { return g.Snapshot().VoteEndings[choice.Acked] == 2 })
+	other, err := fleet.NewPlatform(nil, 9, []float64{1}, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(other.Close)
+	place.Move(other.Address())
+	heard(t, stages, "the other platform's news", func(s gate.Stage) bool { return s.Build == 9 })
+	for range 20 { // more than can wait: the last are dropped, nobody is kept
+		d.Vote(gate.Vote{Build: 9, Verdict: "HOLD"})
+	}
+	until(t, "some votes are dropped", func() bool { return d.Dropped.Load() > 0 })
+}
+
+// TestBadPlatforms: a stream that breaks, is silent or makes no sense is opened again; what came before stays.
+func TestBadPlatforms(t *testing.T) {
+	const line = `{"type":"stage","object":{"Revision":1,"Wave":0,"State":"live","MaxShare":1.0,"AgeMs":0}}` + "\n"
+	for _, c := range []struct {
+		name string
+		bad  func(w http.ResponseWriter, req *http.Request)
+	}{
+		{"a cut stream", func(w http.ResponseWriter, _ *http.Request) { panic(http.ErrAbortHandler) }},
+		{"a line that makes no sense", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "{\n") }},
+		{"a stage that makes no sense", func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, strings.Replace(line, "live", "asleep", 1))
+		}},
+		{"a line without an end", func(w http.ResponseWriter, _ *http.Request) { w.Write(make([]byte, mostLine+1)) }},
+		{"silence", func(_ http.ResponseWriter, req *http.Request) { <-req.Context().Done() }},
+		{"an end in order", func(http.ResponseWriter, *http.Request) {}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var bad atomic.Bool
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+				fmt.Fprint(w, `{"type":"unknown","object":{}}`+"\n"+line)
+				if http.NewResponseController(w).Flush(); bad.Load() {
+					c.bad(w, req)
+					return
+				}
+				<-req.Context().Done()
+			}))
+			t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+			bad.Store(true)
+			d, _, _, stages := desk(t, s.Listener.Addr().String())
+			until(t, "it is opened again", func() bool { return d.Streams.Load() >= 3 })
+			for len(stages) > 0 {
+				if is := <-stages; is.Build != 1 || is.State != "live" {
+					t.Errorf("%+v was taken", is)
+				}
+			}
+			bad.Store(false)
+			heard(t, stages, "a good one again", func(s gate.Stage) bool { return s.Build == 1 })
+		})
+	}
+}
+
+// TestVoteEndings: each way in which a vote can end.
+func TestVoteEndings(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		do   func(w http.ResponseWriter)
+		want choice.Ending
+	}{
+		{"turned away", func(w http.ResponseWriter) { w.WriteHeader(429) }, choice.Full},
+		{"an error", func(w http.ResponseWriter) { w.WriteHeader(500) }, choice.Errored},
+		{"nothing that can be read", func(w http.ResponseWriter) { fmt.Fprint(w, "{") }, choice.TimedOut},
+		{"cut", func(w http.ResponseWriter) { panic(http.ErrAbortHandler) }, choice.TimedOut},
+		{"silence", func(w http.ResponseWriter) { time.Sleep(600 * time.Millisecond) }, choice.TimedOut},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+				if req.Method == http.MethodPost {
+					c.do(w)
+					return
+				}
+				<-req.Context().Done()
+			}))
+			t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+			d, g, _, _ := desk(t, s.Listener.Addr().String())
+			d.Vote(gate.Vote{Build: 1, Verdict: "HOLD"})
+			until(t, "it ended so", func() bool { return g.Snapshot().VoteEndings[c.want] == 1 })
+		})
+	}
+	d, g, _, _ := desk(t, "127.0.0.1:1")
+	d.Vote(gate.Vote{Build: 1, Verdict: "HOLD"})
+	until(t, "it could not be cast", func() bool { return g.Snapshot().VoteEndings[choice.ConnectFailed] == 1 })
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -78,6 +78,9 @@
 	clear(u.conns)
 }
 
+// Address is where it listens.
+func (u *Unit) Address() string { return u.listener.Addr().String() }
+
 // Set puts it into a state: up, draining or removed. Up on another build is another process.
 func (u *Unit) Set(state string, build uint16) {
 	u.mu.Lock()
@@ -215,6 +218,13 @@
 	p.done.Wait()
 }
 
+// Changed has those who wait for changes look again, after a unit was set.
+func (p *Platform) Changed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.change()
+}
+
 func (p *Platform) change() {
 	p.seq++
 	close(p.changed)
--- /dev/null
+++ b/internal/standin/fleet/fleet_test.go
@@ -0,0 +1,163 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"silvercove/internal/pgwire"
+)
+
+func good(*Unit, string, uint16, time.Time) (bool, time.Duration) { return false, 0 }
+
+// asked sends a query over a new connection and reads to its end.
+func asked(t *testing.T, u *Unit, text string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", u.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	c.Write(pgwire.Hail())
+	c.Write(pgwire.Simple(text))
+	c.Write(pgwire.Terminate())
+	b, _ := io.ReadAll(c)
+	return string(b)
+}
+
+func TestUnit(t *testing.T) {
+	u, err := NewUnit("u", 1, func(_ *Unit, op string, build uint16, _ time.Time) (bool, time.Duration) { return op == "bad", 0 })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer u.Close()
+	query := func(op string) string {
+		return "SELECT content FROM kv WHERE name = 'k' /* id=1,c=" + op + ",t=a,d=9 */"
+	}
+	for _, c := range []struct{ text, want string }{{query("fine"), "SELECT 1"}, {query("bad"), "by script"},
+		{"BEGIN", "no statement"}} {
+		if got := asked(t, u, c.text); !strings.HasPrefix(got, string(pgwire.Hello())) || !strings.Contains(got, c.want) ||
+			!strings.HasSuffix(got, string(pgwire.Ready())) {
+			t.Errorf("%s: %q", c.text, got)
+		}
+	}
+	u.Set("draining", 0)
+	if got := asked(t, u, query("fine")); got != "" {
+		t.Errorf("a draining unit takes a new connection: %q", got)
+	}
+	u.Set("up", 2)
+	if u.Build() != 2 || asked(t, u, query("fine")) == "" {
+		t.Error("it is not up on build 2")
+	}
+}
+
+// call makes one request of the platform.
+func call(t *testing.T, p *Platform, method, path, body string) (int, map[string]any) {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+p.Address()+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var out map[string]any
+	json.NewDecoder(resp.Body).Decode(&out)
+	return resp.StatusCode, out
+}
+
+func vote(wave int, decision string) string {
+	return fmt.Sprintf(`{"Revision":2,"Wave":%d,"Decision":%q}`, wave, decision)
+}
+
+func TestRollout(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		votes          []string // at each wave
+		released, back bool
+		builds         int // units on build 2 at the end
+	}{{"released", []string{"PROCEED", "PROCEED"}, true, false, 4}, {"taken back", []string{"PROCEED", "ROLLBACK"}, false, true, 4},
+		{"taken back at once", []string{"ROLLBACK"}, false, true, 2}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var all []*Unit
+			for i := range 4 {
+				u, err := NewUnit(fmt.Sprint("u", i), 1, good)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer u.Close()
+				all = append(all, u)
+			}
+			p, err := NewPlatform(all, 1, []float64{0.5, 1}, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer p.Close()
+			done := make(chan struct{})
+			go func() { defer close(done); p.Offer(context.Background(), 2, 0) }()
+			for wave, v := range c.votes {
+				for status := 0; status != 200; time.Sleep(10 * time.Millisecond) {
+					status, _ = call(t, p, "POST", "/judgements", vote(wave, v))
+					if status != 200 && status != 409 {
+						t.Fatalf("status %d", status)
+					}
+				}
+			}
+			<-done
+			has := 0
+			for _, u := range all {
+				if u.Build() == 2 {
+					has++
+				}
+			}
+			if p.Released != c.released || p.Back != c.back || has != c.builds || p.Verdict <= 0 {
+				t.Errorf("released %v, back %v, %d units on build 2, %v", p.Released, p.Back, has, p.Verdict)
+			}
+			if status, _ := call(t, p, "POST", "/judgements", "{"); status != 400 {
+				t.Errorf("no vote: status %d", status)
+			}
+		})
+	}
+}
+
+func TestListWaits(t *testing.T) {
+	u, err := NewUnit("u", 1, good)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer u.Close()
+	p, err := NewPlatform([]*Unit{u}, 1, []float64{1}, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	_, whole := call(t, p, "GET", "/v1/servers", "")
+	seq := whole["seq"].(float64)
+	if _, same := call(t, p, "GET", fmt.Sprintf("/v1/servers?since=%g&timeout_ms=20", seq), ""); same["seq"] != seq {
+		t.Errorf("nothing has changed, and it is at %v", same["seq"])
+	}
+	got := make(chan map[string]any, 1)
+	go func() {
+		_, next := call(t, p, "GET", fmt.Sprintf("/v1/servers?since=%g&timeout_ms=5000", seq), "")
+		got <- next
+	}()
+	u.Set("draining", 0)
+	p.Changed()
+	if next := <-got; next["seq"].(float64) <= seq {
+		t.Errorf("a change is not told: %v", next)
+	}
+	if status, _ := call(t, p, "GET", "/elsewhere", ""); status != 404 {
+		t.Errorf("status %d", status)
+	}
+}
--- /dev/null
+++ b/internal/units/units_test.go
@@ -0,0 +1,235 @@
+package units
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"silvercove/choice"
+	"silvercove/internal/gate"
+	"silvercove/internal/link"
+	"silvercove/internal/pgwire"
+	"silvercove/internal/standin/fleet"
+)
+
+// house is pools before units, with a gate that chooses among them.
+type house struct {
+	t *testing.T
+	*Pools
+	gate *gate.Gate
+	room *link.Room
+}
+
+func newHouse(t *testing.T, most int, rest time.Duration, dials ...string) *house {
+	t.Helper()
+	h := &house{t: t, room: link.NewRoom(1 << 20)}
+	op := func(name, repeats string) map[string]any {
+		return map[string]any{"name": name, "repeats": repeats, "service_target": 1.0, "command_timeout": 2.0, "importance": 1.0}
+	}
+	h.gate = gate.New(1, map[string]any{"relays": 1.0, "limits.max_deliveries": 1.0,
+		"op_types": []map[string]any{op("read", "redeliverable")}}, gate.Hands{Log: func(string) {}, Watch: func(bool) {},
+		CloseIdle: func(name string) { h.CloseIdle(name) }})
+	h.Pools = New(h.room, most, 300*time.Millisecond, rest, h.gate)
+	var hosts []gate.Host
+	for i, dial := range dials {
+		hosts = append(hosts, gate.Host{Name: fmt.Sprint("s-", i), Dial: dial, State: "up", Build: 1})
+	}
+	h.gate.List(true, hosts)
+	h.gate.Told(gate.Stage{Build: 1, State: "live", Cap: 1})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 2)
+	go func() { ended <- h.Run(ctx) }()
+	go func() { ended <- h.gate.Tick(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+		<-ended
+		if open, _ := h.InUse(); open != 0 {
+			t.Errorf("%d connections are left open", open)
+		}
+	})
+	return h
+}
+
+// ask makes one command and gives how its delivery ended; wait is its client's patience.
+func (h *house) ask(wait time.Duration) (state string, end link.End) {
+	h.t.Helper()
+	q, fault := pgwire.ParseQuery([]byte("SELECT content FROM kv WHERE name = 'k' /* id=1,c=read,t=a,d=2000 */"))
+	if fault != nil {
+		h.t.Fatal(fault)
+	}
+	cmd, _ := h.gate.Take(gate.Ask{OpType: "read", Came: time.Now(), Wait: wait})
+	step := h.gate.Pick(cmd)
+	if step.Delivery == nil {
+		h.t.Fatal("no delivery")
+	}
+	r := h.Deliver(step.Delivery, q)
+	state, end = r.State, r.End
+	if h.gate.Report(step.Delivery, r.State, r.End, r.Load) && len(r.Rows) != rowParts {
+		h.t.Errorf("a row of %d parts", len(r.Rows))
+	}
+	r.Done()
+	return state, end
+}
+
+func unit(t *testing.T, fails bool, took time.Duration) (*fleet.Unit, string) {
+	t.Helper()
+	u, err := fleet.NewUnit("u", 1, func(*fleet.Unit, string, uint16, time.Time) (bool, time.Duration) { return fails, took })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(u.Close)
+	return u, u.Address()
+}
+
+// scripted takes connections and does one thing with each.
+func scripted(t *testing.T, do func(net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				do(c)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// ready takes a startup and says that it is ready, then reads a query.
+func ready(c net.Conn) bool {
+	b := make([]byte, 4<<10)
+	if _, err := c.Read(b); err != nil {
+		return false
+	}
+	c.Write(pgwire.Hello())
+	_, err := c.Read(b)
+	return err == nil
+}
+
+// TestDeliveryEndings: each way in which a delivery ends, and the outcome that it is to the module.
+func TestDeliveryEndings(t *testing.T) {
+	_, good := unit(t, false, 0)
+	_, failing := unit(t, true, 0)
+	_, slow := unit(t, false, time.Second)
+	for _, c := range []struct {
+		name, dial string
+		state      string
+		want       choice.Ending
+	}{
+		{"acked", good, pgwire.Complete, choice.Acked},
+		{"an error", failing, "XX000", choice.Errored},
+		{"past its time", slow, "", choice.TimedOut},
+		{"nothing listens", "127.0.0.1:1", "", choice.ConnectFailed},
+		{"it closes at once", scripted(t, func(net.Conn) {}), "", choice.ConnectFailed},
+		{"no startup answer", scripted(t, func(c net.Conn) { io.Copy(io.Discard, c) }), "", choice.ConnectFailed},
+		{"no room", scripted(t, func(c net.Conn) {
+			c.Read(make([]byte, 1<<10))
+			c.Write(pgwire.Problem("FATAL", pgwire.NoRoom, "full", ""))
+		}), pgwire.NoRoom, choice.Full},
+		{"it resets after the query", scripted(t, func(c net.Conn) {
+			if ready(c) {
+				c.(*net.TCPConn).SetLinger(0)
+			}
+		}), "", choice.Reset},
+		{"it closes after the query", scripted(t, func(c net.Conn) { ready(c) }), "", choice.Reset},
+		{"bytes that make no sense", scripted(t, func(c net.Conn) {
+			if ready(c) {
+				c.Write([]byte("HTTP/1.1 200 OK\r\n\r\n"))
+				io.Copy(io.Discard, c)
+			}
+		}), "", choice.Reset},
+		{"ready without an answer", scripted(t, func(c net.Conn) {
+			if ready(c) {
+				c.Write(pgwire.Ready())
+				io.Copy(io.Discard, c)
+			}
+		}), "", choice.Reset},
+		{"a length that is too large", scripted(t, func(c net.Conn) {
+			if ready(c) {
+				c.Write([]byte{'D', 0x7f, 0xff, 0xff, 0xff})
+				io.Copy(io.Discard, c)
+			}
+		}), "", choice.Reset},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHouse(t, 4, time.Minute, c.dial)
+			state, end := h.ask(500 * time.Millisecond)
+			if got := gate.Outcome(state, end); got != c.want || state != c.state {
+				t.Errorf("outcome %d, wanted %d: state %q, %v, sent %v", got, c.want, state, end.How, end.Sent)
+			}
+		})
+	}
+}
+
+func TestReuseAndClosing(t *testing.T) {
+	u, dial := unit(t, false, 0)
+	h := newHouse(t, 4, 400*time.Millisecond, dial)
+	for range 5 {
+		h.ask(time.Second)
+	}
+	if h.Opened.Load() != 1 || h.Reused.Load() != 4 {
+		t.Errorf("opened %d, reused %d", h.Opened.Load(), h.Reused.Load())
+	}
+	until(t, "an idle connection is closed ahead of the unit", func() bool { open, _ := h.InUse(); return open == 0 })
+	h.ask(time.Second)
+	u.Set("up", 2) // another process: its connections are gone, and that is found before anything is sent
+	until(t, "the closing has come", func() bool {
+		state, _ := h.ask(time.Second)
+		return state == pgwire.Complete
+	})
+	h.CloseIdle("s-0")
+	if open, idle := h.InUse(); open != 0 || idle != 0 {
+		t.Errorf("%d open, %d idle", open, idle)
+	}
+	h.Warm(h.gate.Ready())
+	if open, idle := h.InUse(); open != 2 || idle != 2 {
+		t.Errorf("%d open, %d idle after warming half of four", open, idle)
+	}
+}
+
+// TestFewPlaces: past its places the pools close the connection that has been idle the longest, for another unit's.
+func TestFewPlaces(t *testing.T) {
+	var dials []string
+	for range 4 {
+		_, dial := unit(t, false, 0)
+		dials = append(dials, dial)
+	}
+	h := newHouse(t, 2, time.Minute, dials...)
+	for range 40 {
+		if state, end := h.ask(time.Second); state != pgwire.Complete {
+			t.Fatalf("%q, %v", state, end.How)
+		}
+		if open, _ := h.InUse(); open > 2 {
+			t.Fatalf("%d connections are open", open)
+		}
+	}
+}
+
+func TestProbe(t *testing.T) {
+	_, dial := unit(t, false, 0)
+	h := newHouse(t, 4, time.Minute, dial)
+	h.Probe(h.gate.Ready()[0])
+	until(t, "it has connected", func() bool { return h.Opened.Load() == 1 })
+}
+
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within 10 s: %s", what)
+		}
+	}
+}
