Move what fronts and state still decided into exchange; one walk, one bell, one command path

Read again as a whole, decisions stood outside decision modules: when a Director issues anew and what may stand in for the Image repository, which refusals have roots chased and who is to blame, when a held file counts as confirmed, and widths and time limits of the front. They are methods and constants of internal/exchange now, tested one by one.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -10,7 +10,8 @@
 //  2. commands that find no room are held, and given up when the target is lost
 //  3. units: an order of the relay's own, a sequential test, a trickle that doubles
 //  4. the cold budget, one for all relays
-//  5. a test for each op type and one for wrong answers, fed by peers where they may talk
+//  5. a test for each op type and one for wrong answers, fed by peers where they may talk, and their duals,
+//     which rule a failure share out before a vote to go on
 //  6. lateness against the earlier build, scored as the time-out of a delivery
 package choice
 
--- a/cmd/covectl/metadata.go
+++ b/cmd/covectl/metadata.go
@@ -99,103 +99,41 @@
 	if err != nil {
 		return err
 	}
-	get := func(name string) ([]byte, error) {
-		text, err := os.ReadFile(filepath.Join(c.From, "metadata", name))
+	get := func(f trust.File) ([]byte, error) {
+		text, err := os.ReadFile(filepath.Join(c.From, "metadata", f.String()))
 		if errors.Is(err, os.ErrNotExist) {
 			return nil, nil
 		}
 		return text, err
 	}
 	if strings.HasPrefix(c.From, "http://") {
-		client := &http.Client{Timeout: 10 * time.Second}
-		get = func(name string) ([]byte, error) {
-			resp, err := client.Get(c.From + "/metadata/" + name)
-			if err != nil {
-				return nil, err
-			}
-			defer resp.Body.Close()
-			if resp.StatusCode == http.StatusNotFound {
-				return nil, nil
-			}
-			if resp.StatusCode != http.StatusOK {
-				return nil, fmt.Errorf("%s: status %d", name, resp.StatusCode)
-			}
-			return io.ReadAll(io.LimitReader(resp.Body, trust.MostTargets+1))
+		get = service.Fetcher(c.From + "/metadata/")
+	}
+	told := func(f trust.File) ([]byte, error) {
+		text, err := get(f)
+		if text != nil {
+			fmt.Printf("%s is there\n", f)
 		}
+		return text, err
 	}
 	now := trust.Of(time.Now())
 	r, err := trust.New("repository", floor.InMemory(1<<16, func(string) {}), now, pinned)
 	if err != nil {
 		return err
 	}
-	for {
-		text, err := get(trust.File{Role: "root", Version: r.Next()}.String())
-		if err != nil {
-			return err
-		}
-		if text == nil {
-			break
-		}
-		if refusal := r.Root(now, text); refusal != nil {
-			return refusal
-		}
+	if err := r.Walk(now, told); err != nil {
+		return err
 	}
-	take := func(f trust.File) error {
-		text, err := get(f.String())
-		if err != nil {
-			return err
-		}
-		if text == nil {
-			return fmt.Errorf("%s is not there", f)
-		}
-		var refusal *trust.Refusal
-		switch f.Role {
-		case "timestamp":
-			refusal = r.Timestamp(now, text)
-		case "snapshot":
-			refusal = r.Snapshot(now, text)
-		default:
-			refusal = r.Targets(now, f.Role, text)
-		}
-		if refusal != nil {
-			return refusal
-		}
-		fmt.Printf("%s %d is in order\n", f.Role, r.Version(f.Role))
+	fmt.Printf("root %d, timestamp %d, snapshot %d and targets %d are in order; all of it lasts until %s\n", r.Version("root"),
+		r.Version("timestamp"), r.Version("snapshot"), r.Version("targets"), r.Expires().Time().Format(time.RFC3339))
+	if c.Path == "" {
 		return nil
 	}
-	for {
-		f, _, ok := r.Wanted(now)
-		if !ok {
-			break
-		}
-		if f.Role == "root" {
-			_, refusal := r.Current(now, trust.File{Role: "root"})
-			return refusal
-		}
-		if err := take(f); err != nil {
-			return err
-		}
-	}
-	fmt.Printf("root %d is in order; all of it lasts until %s\n", r.Version("root"),
-		r.Expires().Time().Format(time.RFC3339))
-	for c.Path != "" {
-		t, need, refusal := r.Find(now, c.Path)
-		if refusal != nil {
-			return refusal
-		}
-		if need == "" {
-			fmt.Printf("%s: %d bytes, SHA-256 %x, build %d, vouched for by %s\n", t.Path, t.Length, t.Sum, t.Custom.Build,
-				t.Role)
-			break
-		}
-		f, _, refusal := r.Role(now, need)
-		if refusal != nil {
-			return refusal
-		}
-		if err := take(f); err != nil {
-			return err
-		}
+	t, err := r.LookUp(now, c.Path, told)
+	if err != nil {
+		return err
 	}
+	fmt.Printf("%s: %d bytes, SHA-256 %x, build %d, vouched for by %s\n", t.Path, t.Length, t.Sum, t.Custom.Build, t.Role)
 	return nil
 }
 
--- a/cmd/silvercove/memory.go
+++ b/cmd/silvercove/memory.go
@@ -32,7 +32,7 @@
 		ops = append(ops, name)
 	}
 	seconds := func(name string) float64 { s, _ := t.verdicts[name].(float64); return s }
-	m := &memory{ledger: ledger.New(ops, 0.05), every: time.Duration(seconds("save") * float64(time.Second)),
+	m := &memory{ledger: ledger.New(ops), every: time.Duration(seconds("save") * float64(time.Second)),
 		half: choice.Tick(seconds("half_life") * float64(choice.Second))}
 	if m.path, _ = t.verdicts["ledger"].(string); m.path != "" {
 		m.ledger.Load(m.path)
--- /dev/null
+++ b/internal/bell/bell.go
@@ -0,0 +1,37 @@
+// Package bell owns the waiting of those who work when something falls due or is asked for: one goroutine that is
+// woken at the time its work named, or earlier by Ring.
+package bell
+
+import (
+	"context"
+	"time"
+)
+
+// Bell wakes one worker. Its zero value can't be used.
+type Bell struct{ rung chan struct{} }
+
+// New makes a bell.
+func New() *Bell { return &Bell{make(chan struct{}, 1)} }
+
+// Ring has the work done soon. It never blocks; rings before the work begins count as one.
+func (b *Bell) Ring() {
+	select {
+	case b.rung <- struct{}{}:
+	default: // it is to look anyhow
+	}
+}
+
+// Run does the work at once, then each time it is due by its own word or rung for, until the context ends.
+func (b *Bell) Run(ctx context.Context, work func() (next time.Duration)) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-b.rung:
+		case <-timer.C:
+		}
+		timer.Reset(work())
+	}
+}
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -111,8 +111,8 @@
 
 // Run serves until the context ends, then lets requests under way end within their own limits.
 func (c *Carrier) Run(ctx context.Context, listener net.Listener, longest time.Duration) error {
-	server := &http.Server{Handler: c, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second,
-		IdleTimeout: 30 * time.Second, MaxHeaderBytes: 16 << 10}
+	server := &http.Server{Handler: c, ReadHeaderTimeout: spanOf(exchange.ClientHead),
+		ReadTimeout: spanOf(exchange.ClientBody), IdleTimeout: spanOf(exchange.ClientRest), MaxHeaderBytes: 16 << 10}
 	base, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group, inner := errgroup.WithContext(base)
@@ -122,10 +122,8 @@
 	if c.director != nil {
 		group.Go(func() error { return c.director.Run(inner) })
 	}
-	served := make(chan error, 1)
 	group.Go(func() error {
 		err := server.Serve(netutil.LimitListener(listener, c.most))
-		served <- err
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
--- a/internal/carrier/repo.go
+++ b/internal/carrier/repo.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -31,8 +32,6 @@
 // OpTypes are the names that the settings of a mirrors' gate must have.
 var OpTypes = []string{opRoot, opTimestamp, opSnapshot, opTargets, opPackage}
 
-const mostRootsAtOnce = 64 // of a chain, fetched for one request
-
 // Repo is one repository that is carried.
 type Repo struct {
 	name     string
@@ -130,8 +129,8 @@
 	defer r.doorMu.Unlock()
 	t := r.mirrors[u.Name]
 	if t == nil {
-		t = &http.Transport{DialContext: (&net.Dialer{Timeout: r.connect}).DialContext, MaxIdleConnsPerHost: 8,
-			MaxIdleConns: 8, IdleConnTimeout: 10 * time.Second, DisableCompression: true,
+		t = &http.Transport{DialContext: (&net.Dialer{Timeout: r.connect}).DialContext, MaxIdleConnsPerHost: exchange.MirrorIdle,
+			MaxIdleConns: exchange.MirrorIdle, IdleConnTimeout: spanOf(exchange.MirrorRest), DisableCompression: true,
 			MaxResponseHeaderBytes: 16 << 10}
 		r.mirrors[u.Name] = t
 	}
@@ -235,7 +234,7 @@
 			names = append(names, u.Name)
 		}
 		var group errgroup.Group
-		group.SetLimit(4)
+		group.SetLimit(exchange.SurveyWidth)
 		for _, u := range ready {
 			group.Go(func() error {
 				limited, cancel := context.WithTimeout(ctx, r.timeouts[opTimestamp])
@@ -275,15 +274,12 @@
 // long as mirrors were asked lately.
 func (r *Repo) current(f trust.File) ([]byte, *trust.Refusal) {
 	now := r.tick()
-	data, refusal := r.trust.Current(now, f)
-	if f.Role != "root" && !r.survey.Done {
-		return nil, &trust.Refusal{Why: trust.Missing, Repository: r.name, Role: f.Role, Text: "mirrors are being surveyed"}
-	}
-	fresh := f.Role == "timestamp" || f.Role == "root" && (f.Version == 0 || refusal != nil)
-	if fresh && r.refresh.Stale(now) {
-		return nil, &trust.Refusal{Why: trust.Missing, Repository: r.name, Role: f.Role, Text: "mirrors were not asked lately"}
+	data, says := r.trust.Current(now, f)
+	refusal := exchange.Confirmed(now, f, says, r.survey, r.refresh, r.name)
+	if refusal != nil {
+		return nil, refusal
 	}
-	return data, refusal
+	return data, nil
 }
 
 // have gives a file if it may be passed on, after asking the mirrors for what is lacking.
@@ -333,7 +329,7 @@
 
 // set asks for the next root, a timestamp, and what it names.
 func (r *Repo) set() error {
-	for range mostRootsAtOnce {
+	for range exchange.MostRootsAtOnce {
 		r.mu.Lock()
 		f := trust.File{Role: "root", Version: r.trust.Next()}
 		r.mu.Unlock()
@@ -352,28 +348,22 @@
 		}
 	}
 	stamped := false
-	for range 8 { // new keys may make it begin again
+	for range exchange.MostRounds { // new keys may make it begin again
 		r.mu.Lock()
 		f, most, ok := r.trust.Wanted(r.tick())
 		r.mu.Unlock()
 		if !stamped {
 			f, most, ok = trust.File{Role: "timestamp"}, trust.MostTimestamp, true
 		}
-		var take func(now trust.Tick, data []byte) *trust.Refusal
 		switch {
 		case !ok:
 			return nil
-		case f.Role == "timestamp":
-			take, stamped = r.trust.Timestamp, true
-		case f.Role == "snapshot":
-			take = r.trust.Snapshot
-		case f.Role == "targets":
-			take = func(now trust.Tick, data []byte) *trust.Refusal { return r.trust.Targets(now, f.Role, data) }
-		default:
+		case f.Role == "root":
 			return fmt.Errorf("%s is needed, and no mirror has it", f)
 		}
+		stamped = true
 		err := r.ask(f.Role, f, most, func(ctx context.Context, u gate.Unit, _ int, data []byte) *trust.Refusal {
-			return r.believe(ctx, u, func(now trust.Tick) *trust.Refusal { return take(now, data) })
+			return r.believe(ctx, u, func(now trust.Tick) *trust.Refusal { return r.trust.Take(now, f, data) })
 		})
 		if err != nil {
 			return err
@@ -392,8 +382,7 @@
 func (r *Repo) believe(ctx context.Context, u gate.Unit, take func(now trust.Tick) *trust.Refusal) *trust.Refusal {
 	refusal := r.take(take)
 	chased := false
-	for n := 0; n < mostRootsAtOnce && refusal != nil && (refusal.Why == trust.Foreign ||
-		refusal.Why == trust.UnderThreshold || refusal.Why == trust.Missing && !chased); n++ {
+	for n := 0; n < exchange.MostRootsAtOnce && exchange.Chase(refusal, chased); n++ {
 		r.mu.Lock()
 		f := trust.File{Role: "root", Version: r.trust.Next()}
 		r.mu.Unlock()
@@ -405,7 +394,7 @@
 		chased = true
 		refusal = r.take(take)
 	}
-	if chased && refusal != nil && refusal.Why == trust.Missing {
+	if exchange.Blameless(refusal, chased) {
 		return nil
 	}
 	return refusal
@@ -470,9 +459,9 @@
 		r.mu.Lock()
 		now := r.tick()
 		t, need, refusal := r.trust.Find(now, path)
-		if !r.survey.Done || r.refresh.Stale(now) {
-			t, need, refusal = nil, "", &trust.Refusal{Why: trust.Missing, Repository: r.name, Role: "targets",
-				Text: "mirrors were not asked lately"}
+		lately := trust.File{Role: "timestamp"} // what a package hangs on must count as the newest
+		if refusal = exchange.Confirmed(now, lately, refusal, r.survey, r.refresh, r.name); refusal != nil {
+			t, need = nil, ""
 		}
 		r.mu.Unlock()
 		if refusal != nil || t != nil {
@@ -517,46 +506,63 @@
 // errNone: the module gave a command up.
 var errNone = errors.New("no mirror can be asked now")
 
-// ask makes one command of a file: the gate chooses mirrors until one's answer is believed, or gives up.
-func (r *Repo) ask(op string, f trust.File, most int,
-	take func(ctx context.Context, u gate.Unit, status int, data []byte) *trust.Refusal) error {
+// attempt is how one delivery went: its answer's status, 0 without one that counts, whether it was believed, how its
+// connection ended, and what was wrong. over: no other mirror is to be asked.
+type attempt struct {
+	status   int
+	believed bool
+	end      link.End
+	fault    error
+	over     bool
+}
+
+// command makes one command: work is done at the mirrors that the gate chooses until one is believed, or until the
+// gate, or the client, gives up.
+func (r *Repo) command(ctx context.Context, op string, work func(d *gate.Delivery) attempt) error {
 	var last error = errNone
 	cmd, _ := r.gate.Take(gate.Ask{OpType: op, Came: time.Now(), Wait: r.timeouts[op]})
+	defer context.AfterFunc(ctx, func() { r.gate.Leave(cmd) })()
 	for {
 		step := r.gate.Pick(cmd)
 		if step.Delivery == nil {
 			return last
 		}
 		d := step.Delivery
-		if r.late(d) {
+		if exchange.TooLate(ticks(time.Since(d.Chosen())), 0) { // as if it had never been chosen
+			r.gate.ReportMirror(d, 0, false, link.End{How: link.CalledOff})
 			continue
 		}
-		s := r.get(d.Context, d.Unit, "metadata/"+f.String(), 0, most)
-		believed, status := false, s.status
-		if !s.end.Over() && (s.status == 200 || s.status == 404 && op == opRoot) {
-			refusal := take(d.Context, d.Unit, s.status, s.data)
-			if believed = refusal == nil; !believed {
-				last = fmt.Errorf("%s: %w", d.Unit.Name, refusal)
-				r.log(fmt.Sprintf("%s: mirror %s: %v", r.name, d.Unit.Name, refusal))
-			}
-		} else if s.end.Over() {
-			last, status = fmt.Errorf("%s: %s: %s", d.Unit.Name, f, s.end.How), 0
-		} else {
-			last = fmt.Errorf("%s: %s: status %d", d.Unit.Name, f, s.status)
+		a := work(d)
+		if a.fault != nil {
+			last = fmt.Errorf("mirror %s: %w", d.Unit.Name, a.fault)
+			r.log(fmt.Sprintf("%s: %v", r.name, last))
 		}
-		if r.gate.ReportMirror(d, status, believed, s.end) {
+		switch {
+		case r.gate.ReportMirror(d, a.status, a.believed, a.end), a.believed:
 			return nil
+		case a.over:
+			r.gate.Leave(cmd)
+			return last
 		}
 	}
 }
 
-// late reports a delivery that waited too long in this process as never sent.
-func (r *Repo) late(d *gate.Delivery) bool {
-	if !exchange.TooLate(trust.Tick(time.Since(d.Chosen())/(100*time.Microsecond)), 0) {
-		return false
-	}
-	r.gate.ReportMirror(d, 0, false, link.End{How: link.CalledOff})
-	return true
+// ask makes one command of a file.
+func (r *Repo) ask(op string, f trust.File, most int,
+	take func(ctx context.Context, u gate.Unit, status int, data []byte) *trust.Refusal) error {
+	return r.command(context.Background(), op, func(d *gate.Delivery) attempt {
+		s := r.get(d.Context, d.Unit, "metadata/"+f.String(), 0, most)
+		switch {
+		case s.end.Over():
+			return attempt{end: s.end, fault: fmt.Errorf("%s: %s", f, s.end.How)}
+		case s.status != 200 && (s.status != 404 || op != opRoot):
+			return attempt{status: s.status, fault: fmt.Errorf("%s: status %d", f, s.status)}
+		}
+		if refusal := take(d.Context, d.Unit, s.status, s.data); refusal != nil {
+			return attempt{status: s.status, fault: refusal}
+		}
+		return attempt{status: s.status, believed: true}
+	})
 }
 
 // got is how one exchange with a mirror went.
@@ -686,23 +692,11 @@
 	r.mu.Lock()
 	stored := r.trust.Stored(t)
 	r.mu.Unlock()
-	cmd, _ := r.gate.Take(gate.Ask{OpType: opPackage, Came: time.Now(), Wait: r.timeouts[opPackage]})
-	stop := context.AfterFunc(ctx, func() { r.gate.Leave(cmd) })
-	defer stop()
-	var last error = errNone
-	for {
-		step := r.gate.Pick(cmd)
-		if step.Delivery == nil {
-			return last
-		}
-		d := step.Delivery
-		if r.late(d) {
-			continue
-		}
+	return r.command(ctx, opPackage, func(d *gate.Delivery) (a attempt) {
 		r.gate.Streaming(d)
 		body.Resume()
 		from := body.Next()
-		status, end := r.exchange(d.Context, d.Unit, "targets/"+stored, from, func(status int, _ int64, in io.Reader) link.End {
+		a.status, a.end = r.exchange(d.Context, d.Unit, "targets/"+stored, from, func(status int, _ int64, in io.Reader) link.End {
 			if status == http.StatusOK && from > 0 { // it gives the whole: leave out what was had
 				if _, err := io.CopyN(io.Discard, in, from); err != nil {
 					return ended(d.Context, err, true)
@@ -710,38 +704,27 @@
 			} else if status != http.StatusOK && status != http.StatusPartialContent {
 				return link.End{}
 			}
-			end, err := r.copy(d.Context, in.(*paced), body, out)
-			if err != nil {
-				last = err
-			}
+			var end link.End
+			end, a.fault = r.copy(d.Context, in.(*paced), body, out)
 			return end
 		})
-		done := body.Done() || out.done()
-		if out.gone {
-			end = link.End{How: link.CalledOff, Sent: true}
-			done = false
-		}
-		if !done && !end.Over() {
-			end = link.End{How: link.Malformed, Sent: true}
-			if status == http.StatusOK || status == http.StatusPartialContent {
-				status = 0
-				last = fmt.Errorf("%s: it gave half a file", d.Unit.Name)
-			}
-		} else if end.Over() {
-			status = 0
-		}
-		if !done && !out.gone {
-			r.log(fmt.Sprintf("%s: mirror %s: %s: from byte %d: %v %s, status %d", r.name, d.Unit.Name, t.Path, from, last,
-				end.How, status))
-		}
-		if r.gate.ReportMirror(d, status, done, end) || done {
-			return nil
-		}
-		if out.gone || body.Spoilt() {
-			r.gate.Leave(cmd)
-			return fmt.Errorf("%w, or what was passed on is spoilt", errGone)
+		switch whole := body.Done() || out.done(); {
+		case out.gone:
+			return attempt{end: link.End{How: link.CalledOff, Sent: true}, fault: errGone, over: true}
+		case whole:
+			return attempt{status: a.status, believed: true}
+		case a.end.Over():
+			a.status = 0
+			a.fault = cmp.Or(a.fault, error(fmt.Errorf("%s from byte %d: %s", t.Path, from, a.end.How)))
+		case a.status == http.StatusOK || a.status == http.StatusPartialContent:
+			a.status, a.end = 0, link.End{How: link.Malformed, Sent: true}
+			a.fault = fmt.Errorf("%s from byte %d: half a file", t.Path, from)
+		default:
+			a.fault = fmt.Errorf("%s: status %d", t.Path, a.status)
 		}
-	}
+		a.over = body.Spoilt()
+		return a
+	})
 }
 
 // copy verifies what comes and passes it on.
--- a/internal/director/director.go
+++ b/internal/director/director.go
@@ -26,6 +26,8 @@
 	"github.com/theupdateframework/go-tuf/v2/metadata"
 	"golang.org/x/sync/errgroup"
 
+	"silvercove/internal/bell"
+	"silvercove/internal/exchange"
 	"silvercove/internal/floor"
 	"silvercove/internal/gate"
 	"silvercove/internal/keys"
@@ -75,7 +77,7 @@
 	later    *gate.Stage // news of a package that the Image repository does not know yet
 	released uint16
 	wakeAt   waves.Tick
-	rung     chan struct{}
+	bell     *bell.Bell
 	dirty    []*server
 
 	Issued, Told, Reports int64
@@ -99,7 +101,7 @@
 func New(chain map[string][]byte, online []*keys.Key, f Floor, image Image, now func() time.Time, last time.Duration,
 	packages map[uint16]string, running uint16, log func(string)) (*Director, error) {
 	d := &Director{floor: f, image: image, now: now, last: last.Truncate(time.Second), packages: packages, log: log,
-		seen: map[string]*trust.Target{}, servers: map[string]*server{}, rung: make(chan struct{}, 1), released: running}
+		seen: map[string]*trust.Target{}, servers: map[string]*server{}, bell: bell.New(), released: running}
 	if v, _ := f.Seen("director/released"); v > 0 {
 		d.released = max(uint16(v), running)
 	}
@@ -198,6 +200,9 @@
 		trust.Tick(binary.BigEndian.Uint64(sum[2:])), trust.Tick(binary.BigEndian.Uint64(sum[12:]))}
 }
 
+// tick is one tick of the modules.
+const tick = time.Second / time.Duration(trust.Second)
+
 func (d *Director) tick() waves.Tick { return waves.Tick(trust.Of(d.now())) }
 
 // Tell is the module's word that a server is to be told a build.
@@ -215,21 +220,14 @@
 	}
 	s.stale = true
 	d.dirty = append(d.dirty, s)
-	d.ring()
-}
-
-func (d *Director) ring() {
-	select {
-	case d.rung <- struct{}{}:
-	default:
-	}
+	d.bell.Ring()
 }
 
 // WakeAt sets the module's alarm.
 func (d *Director) WakeAt(at waves.Tick) {
 	if d.wakeAt == 0 || at < d.wakeAt {
 		d.wakeAt = at
-		d.ring()
+		d.bell.Ring()
 	}
 }
 
@@ -284,7 +282,7 @@
 	now := d.tick()
 	if !known { // told ones may go back, nobody new is told
 		d.later = &is
-		d.WakeAt(now + waves.Tick(trust.Second)/5)
+		d.WakeAt(now + waves.Tick(exchange.IssueAgain))
 	}
 	if is.Build == d.released { // nothing newer is out
 		d.waves.Stage(now, is.Build, is.Build, waves.Released, 1, fits)
@@ -384,8 +382,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := trust.Of(d.now())
-	if stale || s.files == nil || now >= s.at+(s.end-s.at)/2 || !d.agreed(s) {
-		if err := d.issue(s, now); err != nil && (stale || s.files == nil || now >= s.end) {
+	held := exchange.Issue{Any: s.files != nil, At: s.at, End: s.end, Told: !stale, Agreed: d.agreed(s)}
+	if held.Renew(now) {
+		if err := d.issue(s, now); err != nil && !held.Lasts(now) {
 			return nil, err // nothing older is given in its place
 		}
 	}
@@ -423,7 +422,7 @@
 		d.mu.Unlock()
 		return err
 	}
-	if now > d.floor.Passed()+trust.Second {
+	if exchange.KeepTime(now, d.floor.Passed()) {
 		if err := d.floor.Pass(now); err != nil {
 			return again(fmt.Errorf("%w: the time is not kept: %v", ErrNotNow, err))
 		}
@@ -486,7 +485,7 @@
 	defer d.seenMu.Unlock()
 	if refusal == nil {
 		d.seen[path] = t
-	} else if was := d.seen[path]; was != nil && (refusal.Why == trust.Missing || refusal.Why == trust.Expired) {
+	} else if was := d.seen[path]; was != nil && exchange.StandsIn(refusal) {
 		return was, nil
 	}
 	return t, refusal
@@ -550,22 +549,7 @@
 }
 
 // Run issues what is owed and rings the module's alarms until the context ends.
-func (d *Director) Run(ctx context.Context) error {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-d.rung:
-		case <-timer.C:
-		}
-		timer.Reset(d.work())
-	}
-}
-
-// retry is how long what could not be issued waits.
-const retry = 200 * time.Millisecond
+func (d *Director) Run(ctx context.Context) error { return d.bell.Run(ctx, d.work) }
 
 // work rings the alarm that is due, issues what is owed, and tells how long it is until the next.
 func (d *Director) work() time.Duration {
@@ -614,10 +598,10 @@
 				d.dirty = append(d.dirty, s)
 			}
 		}
-		next = retry
+		next = time.Duration(exchange.IssueAgain) * tick
 	}
 	if d.wakeAt != 0 {
-		next = min(next, max(0, time.Duration(d.wakeAt-d.tick())*100*time.Microsecond))
+		next = min(next, max(0, time.Duration(d.wakeAt-d.tick())*tick))
 	}
 	return next
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -244,3 +244,74 @@
 		"rules.cold": 10.0, "rules.cold_from": 0.1, "rules.tip_after": 1.0, "rules.fall_multiple": 2.0,
 		"rules.drain_grace": 1.0, "rules.ask_every": 20.0}
 }
+
+// Issue is what a Director holds for a server: whether there is any, from and until when it counts, and whether it
+// still is what the server is told, and what the Image repository says of the package.
+type Issue struct {
+	Any          bool
+	At, End      Tick
+	Told, Agreed bool
+}
+
+// Renew tells whether it is to be issued anew before it is given: at half its life at the latest, so that a server
+// that asks in that time never finds it expired.
+func (i Issue) Renew(now Tick) bool {
+	return !i.Any || !i.Told || !i.Agreed || now >= i.At+(i.End-i.At)/2
+}
+
+// Lasts tells whether it may be given all the same if it could not be issued anew: never what the server is no
+// longer told, nor what has expired.
+func (i Issue) Lasts(now Tick) bool { return i.Any && i.Told && now < i.End }
+
+// StandsIn tells whether what the Image repository said last of a package may stand in for what it says now: while
+// it can't be had, so that servers can be told back; not where it says something else.
+func StandsIn(r *trust.Refusal) bool { return r.Why == trust.Missing || r.Why == trust.Expired }
+
+// IssueAgain is how long what could not be issued waits.
+const IssueAgain = trust.Second / 5
+
+// KeepTime tells whether the time is to be made durable before something is issued that lasts from now on.
+func KeepTime(now, kept Tick) bool { return now > kept+trust.Second }
+
+// Limits of a front's exchanges, beside those of trust.
+const (
+	MostRootsAtOnce = 64                // of a chain, for one request
+	MostRounds      = 8                 // in which a whole set must be had, though keys may change meanwhile
+	SurveyWidth     = 4                 // mirrors asked at once after a start
+	MirrorIdle      = 8                 // connections to a mirror that are kept
+	MirrorRest      = 10 * trust.Second // for so long
+	ClientHead      = 5 * trust.Second  // a client's request may take to come
+	ClientBody      = 30 * trust.Second // and its report
+	ClientRest      = 30 * trust.Second // a client's connection may stand idle
+)
+
+// Chase tells whether a mirror is asked for newer roots because of what it gave: it may be signed by keys of a
+// newer one. chased: a newer root has come already, which may have made void what is held.
+func Chase(r *trust.Refusal, chased bool) bool {
+	if r == nil {
+		return false
+	}
+	return r.Why == trust.Foreign || r.Why == trust.UnderThreshold || r.Why == trust.Missing && !chased
+}
+
+// Blameless tells whether a mirror is not to blame for a refusal: newer roots that it gave have made void what its
+// file hangs on.
+func Blameless(r *trust.Refusal, chased bool) bool {
+	return r != nil && chased && r.Why == trust.Missing
+}
+
+// Confirmed holds what trust says of a file against when mirrors were asked: nothing but roots is passed on before
+// the survey is done; a timestamp, and the word on which root is the newest, only while mirrors were asked lately.
+func Confirmed(now Tick, f trust.File, says *trust.Refusal, s *Survey, r *Refresh, repository string) *trust.Refusal {
+	unconfirmed := func(text string) *trust.Refusal {
+		return &trust.Refusal{Why: trust.Missing, Repository: repository, Role: f.Role, Text: text}
+	}
+	newest := f.Role == "timestamp" || f.Role == "root" && (f.Version == 0 || says != nil)
+	switch {
+	case f.Role != "root" && !s.Done:
+		return unconfirmed("mirrors are being surveyed")
+	case newest && r.Stale(now):
+		return unconfirmed("mirrors were not asked lately")
+	}
+	return says
+}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -165,3 +165,85 @@
 		t.Error("no mirrors are a majority")
 	}
 }
+
+func TestIssue(t *testing.T) {
+	fresh := Issue{Any: true, At: 0, End: 60 * s, Told: true, Agreed: true}
+	with := func(change func(i *Issue)) Issue { i := fresh; change(&i); return i }
+	for _, c := range []struct {
+		name         string
+		is           Issue
+		now          Tick
+		renew, lasts bool
+	}{
+		{"fresh", fresh, 1, false, true}, {"before half its life", fresh, 30*s - 1, false, true},
+		{"at half its life", fresh, 30 * s, true, true}, {"expired", fresh, 60 * s, true, false},
+		{"told another", with(func(i *Issue) { i.Told = false }), 1, true, false},
+		{"the image says otherwise", with(func(i *Issue) { i.Agreed = false }), 1, true, true},
+		{"none yet", Issue{Told: true, Agreed: true}, 1, true, false},
+	} {
+		if c.is.Renew(c.now) != c.renew || c.is.Lasts(c.now) != c.lasts {
+			t.Errorf("%s: renewed %v, lasts %v", c.name, c.is.Renew(c.now), c.is.Lasts(c.now))
+		}
+	}
+	if KeepTime(s, 0) || !KeepTime(s+1, 0) {
+		t.Error("the time is kept in steps of a second")
+	}
+}
+
+// TestReasons goes through every reason once for each decision that hangs on one.
+func TestReasons(t *testing.T) {
+	in := func(why trust.Why, of ...trust.Why) bool {
+		for _, w := range of {
+			if w == why {
+				return true
+			}
+		}
+		return false
+	}
+	for why := trust.None + 1; why < trust.Whys; why++ {
+		r := &trust.Refusal{Why: why}
+		if got := StandsIn(r); got != in(why, trust.Missing, trust.Expired) {
+			t.Errorf("%v stands in: %v", why, got)
+		}
+		if got := Chase(r, false); got != in(why, trust.Foreign, trust.UnderThreshold, trust.Missing) {
+			t.Errorf("%v is chased: %v", why, got)
+		}
+		if got := Chase(r, true); got != in(why, trust.Foreign, trust.UnderThreshold) {
+			t.Errorf("%v is chased further: %v", why, got)
+		}
+		if got := Blameless(r, true); got != in(why, trust.Missing) || Blameless(r, false) {
+			t.Errorf("%v blames nobody: %v", why, got)
+		}
+	}
+	if Chase(nil, false) || Blameless(nil, true) {
+		t.Error("what was believed is chased")
+	}
+}
+
+func TestConfirmed(t *testing.T) {
+	lacking := &trust.Refusal{Why: trust.Expired}
+	for _, c := range []struct {
+		name     string
+		f        trust.File
+		says     *trust.Refusal
+		surveyed bool
+		asked    Tick // ago
+		want     trust.Why
+	}{
+		{"a timestamp, asked just now", trust.File{Role: "timestamp"}, nil, true, 0, trust.None},
+		{"a timestamp, asked long ago", trust.File{Role: "timestamp"}, nil, true, 2 * s, trust.Missing},
+		{"a timestamp before the survey", trust.File{Role: "timestamp"}, nil, false, 0, trust.Missing},
+		{"a snapshot, asked long ago", trust.File{Role: "snapshot", Version: 3}, nil, true, 2 * s, trust.None},
+		{"a snapshot before the survey", trust.File{Role: "snapshot", Version: 3}, nil, false, 0, trust.Missing},
+		{"a root of the chain before the survey", trust.File{Role: "root", Version: 1}, nil, false, 2 * s, trust.None},
+		{"the newest root, asked long ago", trust.File{Role: "root"}, nil, true, 2 * s, trust.Missing},
+		{"what trust refuses", trust.File{Role: "targets", Version: 1}, lacking, true, 0, trust.Expired},
+	} {
+		r := NewRefresh(s, s, 1)
+		r.Had(100 * s)
+		got := Confirmed(100*s+c.asked, c.f, c.says, NewSurvey(!c.surveyed), r, "r")
+		if why := trust.None; got != nil && got.Why != c.want || got == nil && c.want != why {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
--- a/internal/floor/floor.go
+++ b/internal/floor/floor.go
@@ -357,11 +357,8 @@
 	defer f.mu.Unlock()
 	m := mark{version, sum}
 	for _, was := range []mark{f.marks[key], f.pending[key]} {
-		switch {
-		case version < was.version:
-			return fmt.Errorf("floor: %s %d: %w", key, version, ErrOlder)
-		case version == was.version && sum != was.sum && was.version > 0:
-			return fmt.Errorf("floor: %s %d: %w", key, version, ErrConflict)
+		if err := m.follows(was, key); err != nil {
+			return err
 		}
 	}
 	if f.marks[key] == m {
@@ -376,6 +373,17 @@
 	return f.commit()
 }
 
+// follows: a version may stand again with the same content, or be higher.
+func (m mark) follows(was mark, key string) error {
+	switch {
+	case m.version < was.version:
+		return fmt.Errorf("floor: %s %d: %w", key, m.version, ErrOlder)
+	case m.version == was.version && m.sum != was.sum && was.version > 0:
+		return fmt.Errorf("floor: %s %d: %w", key, m.version, ErrConflict)
+	}
+	return nil
+}
+
 // Pass makes a time durable; an earlier one than was passed before changes nothing.
 func (f *Floor) Pass(now trust.Tick) error {
 	f.mu.Lock()
@@ -487,9 +495,12 @@
 func (f *Floor) Entries() []Entry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var all []Entry
-	for _, key := range slices.Sorted(maps.Keys(f.marks)) {
-		all = append(all, Entry{key, f.marks[key].version, f.marks[key].sum})
+	return entries(f.marks)
+}
+
+func entries(marks map[string]mark) (all []Entry) {
+	for _, key := range slices.Sorted(maps.Keys(marks)) {
+		all = append(all, Entry{key, marks[key].version, marks[key].sum})
 	}
 	return all
 }
--- a/internal/floor/memory.go
+++ b/internal/floor/memory.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
-	"slices"
 	"sync"
 
 	"silvercove/internal/trust"
@@ -35,15 +33,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	was, ok := f.marks[key]
-	switch {
-	case version < was.version:
-		return fmt.Errorf("floor: %s %d: %w", key, version, ErrOlder)
-	case ok && version == was.version && sum != was.sum:
-		return fmt.Errorf("floor: %s %d: %w", key, version, ErrConflict)
-	case !ok && len(f.marks) >= f.most:
+	m := mark{version, sum}
+	if err := m.follows(was, key); err != nil {
+		return err
+	}
+	if !ok && len(f.marks) >= f.most {
 		return fmt.Errorf("floor: %d entries: %w", len(f.marks), ErrFull)
 	}
-	f.marks[key] = mark{version, sum}
+	f.marks[key] = m
 	return nil
 }
 
@@ -69,9 +66,5 @@
 func (f *Memory) Entries() []Entry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var all []Entry
-	for _, key := range slices.Sorted(maps.Keys(f.marks)) {
-		all = append(all, Entry{key, f.marks[key].version, f.marks[key].sum})
-	}
-	return all
+	return entries(f.marks)
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"silvercove/choice"
+	"silvercove/internal/bell"
 	"silvercove/internal/link"
 )
 
@@ -79,7 +80,7 @@
 	opened time.Time   // both of its clocks were read at once
 	base   choice.Tick // Unix time then
 	alarms []alarm
-	rung   chan struct{} // the earliest alarm may have changed
+	bell   *bell.Bell // the earliest alarm may have changed
 	doors  uint64
 	ops    map[string]int
 	names  map[string]map[string]int // zones, kinds and customers to their places in the settings
@@ -108,7 +109,7 @@
 // New makes the module and hands it its settings. The hands may be used from then on.
 func New(seed uint64, settings map[string]any, hands Hands) *Gate {
 	now := time.Now()
-	g := &Gate{hands: hands, opened: now, base: choice.Tick(now.UnixMicro() / 100), rung: make(chan struct{}, 1),
+	g := &Gate{hands: hands, opened: now, base: choice.Tick(now.UnixMicro() / 100), bell: bell.New(),
 		ops: map[string]int{}, units: map[string]*unit{}, open: map[*choice.Command]*Command{},
 		out: map[*choice.Delivery]*Delivery{}}
 	types, _ := settings["op_types"].([]map[string]any)
@@ -328,19 +329,7 @@
 func (g *Gate) Figures() []string { return g.loads }
 
 // Tick rings the module's alarms until the context ends.
-func (g *Gate) Tick(ctx context.Context) error {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-g.rung:
-		case <-timer.C:
-		}
-		timer.Reset(g.ring())
-	}
-}
+func (g *Gate) Tick(ctx context.Context) error { return g.bell.Run(ctx, g.ring) }
 
 // ring calls the alarms that are due and tells how long it is until the next.
 func (g *Gate) ring() time.Duration {
@@ -415,10 +404,7 @@
 // WakeAt sets an alarm.
 func (g *Gate) WakeAt(at choice.Tick, tag uint32) {
 	g.alarms = append(g.alarms, alarm{at, tag})
-	select {
-	case g.rung <- struct{}{}:
-	default: // it is to look anyhow
-	}
+	g.bell.Ring()
 }
 
 // Probe checks a unit.
--- a/internal/gate/recall_test.go
+++ b/internal/gate/recall_test.go
@@ -23,7 +23,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			votes := make(chan Vote, 8)
-			l := ledger.New([]string{"read", "sell"}, 0.05)
+			l := ledger.New([]string{"read", "sell"})
 			op := func(name string) map[string]any {
 				return map[string]any{"name": name, "repeats": "redeliverable", "service_target": 1.0, "command_timeout": 4.0,
 					"importance": 1.0}
--- a/internal/lab/metadata.go
+++ b/internal/lab/metadata.go
@@ -220,7 +220,7 @@
 		all.Go(func() {
 			for next.Add(1) <= int64(m.Asks) && ctx.Err() == nil {
 				at := time.Now()
-				status := ask(way, url)
+				status := ask(way, http.MethodGet, url, "", drop)
 				took := time.Since(at)
 				if status != 200 {
 					wrong.Add(1)
@@ -235,8 +235,9 @@
 	return float64(h.TotalCount()) / time.Since(began).Seconds(), h, wrong.Load(), ctx.Err()
 }
 
-func ask(way http.RoundTripper, url string) int {
-	req, err := http.NewRequest(http.MethodGet, url, nil)
+// ask makes one request and has its answer read; it gives the status, 0 where that did not come whole.
+func ask(way http.RoundTripper, method, url, text string, read func(io.Reader) error) int {
+	req, err := http.NewRequest(method, url, strings.NewReader(text))
 	if err != nil {
 		return 0
 	}
@@ -245,12 +246,21 @@
 		return 0
 	}
 	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+	if read(resp.Body) != nil {
 		return 0
 	}
 	return resp.StatusCode
 }
 
+func drop(body io.Reader) error {
+	_, err := io.Copy(io.Discard, body)
+	return err
+}
+
+func into(v any) func(io.Reader) error {
+	return func(body io.Reader) error { return json.NewDecoder(body).Decode(v) }
+}
+
 // lowered has all servers poll, lowers the cap, and takes how long each of those told back waits until it has
 // fetched metadata that name the earlier package.
 func (m Metadata) lowered(ctx context.Context, w *world, n int) (count int, issued int64, h latencies, err error) {
@@ -279,7 +289,7 @@
 						Running: fmt.Sprintf("app/%d.tar", b), Build: b, Installed: "ok", Tried: fmt.Sprintf("app/%d.tar", b)},
 						w.key.Private)
 					if err == nil {
-						post(way, fmt.Sprintf("%s/director/s%d/manifest", front, i), text)
+						ask(way, http.MethodPost, fmt.Sprintf("%s/director/s%d/manifest", front, i), string(text), drop)
 					}
 				}
 			})
@@ -352,7 +362,7 @@
 		}
 	}
 	base := fmt.Sprintf("%s/director/s%d/metadata/", front, i)
-	if fetch(way, base+"timestamp.json", &stamp) != 200 {
+	if ask(way, http.MethodGet, base+"timestamp.json", "", into(&stamp)) != 200 {
 		return 0
 	}
 	var targets struct {
@@ -360,7 +370,7 @@
 			Targets map[string]struct{ Custom trust.Custom }
 		}
 	}
-	if fetch(way, fmt.Sprintf("%s%d.targets.json", base, stamp.Signed.Version), &targets) != 200 {
+	if ask(way, http.MethodGet, fmt.Sprintf("%s%d.targets.json", base, stamp.Signed.Version), "", into(&targets)) != 200 {
 		return 0
 	}
 	for _, t := range targets.Signed.Targets {
@@ -369,33 +379,6 @@
 	return 0
 }
 
-func fetch(way http.RoundTripper, url string, into any) int {
-	req, err := http.NewRequest(http.MethodGet, url, nil)
-	if err != nil {
-		return 0
-	}
-	resp, err := way.RoundTrip(req)
-	if err != nil {
-		return 0
-	}
-	defer resp.Body.Close()
-	if json.NewDecoder(resp.Body).Decode(into) != nil {
-		return 0
-	}
-	return resp.StatusCode
-}
-
-func post(way http.RoundTripper, url string, text []byte) {
-	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(string(text)))
-	if err != nil {
-		return
-	}
-	if resp, err := way.RoundTrip(req); err == nil {
-		io.Copy(io.Discard, resp.Body)
-		resp.Body.Close()
-	}
-}
-
 // verification compares taking a set anew with passing it on from what is held.
 func (m Metadata) verification(to io.Writer) error {
 	dir, err := os.MkdirTemp("", "lab")
@@ -420,19 +403,8 @@
 		if r, err = trust.New("image", floor.InMemory(1000, func(string) {}), now, k.Root(1)); err != nil {
 			return err
 		}
-		for f, _, ok := r.Wanted(now); ok; f, _, ok = r.Wanted(now) {
-			var refusal *trust.Refusal
-			switch text := set.Files[f.String()]; f.Role {
-			case "timestamp":
-				refusal = r.Timestamp(now, text)
-			case "snapshot":
-				refusal = r.Snapshot(now, text)
-			default:
-				refusal = r.Targets(now, f.Role, text)
-			}
-			if refusal != nil {
-				return refusal
-			}
+		if err := r.Walk(now, func(f trust.File) ([]byte, error) { return set.Files[f.String()], nil }); err != nil {
+			return err
 		}
 	}
 	anew := time.Since(began) / rounds
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -112,8 +112,11 @@
 	Lost    string   // why an earlier snapshot could not be had; "" if it could, or there was none
 }
 
-// New makes a ledger of the op types; bounds are given at a level such as 0.05, shared out among them.
-func New(ops []string, level float64) *Ledger {
+// level is the chance that any of the bounds that are told is ever wrong, shared out among the op types.
+const level = 0.05
+
+// New makes a ledger of the op types.
+func New(ops []string) *Ledger {
 	return &Ledger{ops: ops[:min(len(ops), mostOps)], level: level / float64(max(1, len(ops)))}
 }
 
@@ -424,6 +427,6 @@
 		Ops []string `json:"ops"`
 	}
 	json.Unmarshal(body, &s) // what is wrong with it is told by Read
-	l := New(s.Ops, 0.05)
+	l := New(s.Ops)
 	return l, l.Read(text)
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -14,7 +14,7 @@
 const s = choice.Second
 
 func filled() *Ledger {
-	l := New([]string{"read", "sell"}, 0.05)
+	l := New([]string{"read", "sell"})
 	l.Offered(10*s, 7, "testing")
 	for i := range 40 {
 		l.Outcome(11*s, 7, i%2, i/20, i%10 == 0)
@@ -56,7 +56,7 @@
 }
 
 func TestMemoryIsBounded(t *testing.T) {
-	l := New(make([]string, 1000)[:300], 0.05)
+	l := New(make([]string, 1000)[:300])
 	for i := range uint16(20) {
 		l.Offered(s, i, "testing")
 		for j := range 300 {
@@ -128,12 +128,12 @@
 func TestSnapshots(t *testing.T) {
 	l := filled()
 	text := l.Snapshot()
-	again := New([]string{"read", "sell"}, 0.05)
+	again := New([]string{"read", "sell"})
 	if err := again.Read(text); err != nil || strings.Join(again.Explain(), "") != strings.Join(l.Explain(), "") {
 		t.Errorf("%v", err)
 	}
 	for cut := range text { // at any byte
-		fresh := New([]string{"read", "sell"}, 0.05)
+		fresh := New([]string{"read", "sell"})
 		if err := fresh.Read(text[:cut]); !errors.Is(err, ErrDamaged) || len(fresh.builds) != 0 {
 			t.Fatalf("cut at %d: %v", cut, err)
 		}
@@ -141,7 +141,7 @@
 	for i := range text {
 		bad := append([]byte(nil), text...)
 		bad[i] ^= 1
-		fresh := New([]string{"read", "sell"}, 0.05)
+		fresh := New([]string{"read", "sell"})
 		if err := fresh.Read(bad); err == nil || len(fresh.builds) != 0 {
 			t.Fatalf("byte %d flipped: it is taken", i)
 		}
@@ -149,7 +149,7 @@
 	if err := again.Read([]byte(strings.Replace(string(text), "ledger 1", "ledger 2", 1))); !errors.Is(err, ErrLater) {
 		t.Errorf("%v", err)
 	}
-	if err := New([]string{"read"}, 0.05).Read(text); !errors.Is(err, ErrDamaged) {
+	if err := New([]string{"read"}).Read(text); !errors.Is(err, ErrDamaged) {
 		t.Errorf("one of other op types: %v", err)
 	}
 	path := filepath.Join(t.TempDir(), "ledger")
@@ -175,7 +175,7 @@
 	f.Add(filled().Snapshot())
 	f.Add([]byte("silvercove-ledger 1 00000000 2\n{}"))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		l := New([]string{"read", "sell"}, 0.05)
+		l := New([]string{"read", "sell"})
 		if l.Read(text) == nil {
 			l.Explain()
 			l.Aged(s, 7, s)
--- a/internal/repo/repo_test.go
+++ b/internal/repo/repo_test.go
@@ -41,41 +41,11 @@
 	must(t, err)
 	r, err := trust.New("r", floor.InMemory(100, func(string) {}), now, files["1.root.json"])
 	must(t, err)
-	for files[trust.File{Role: "root", Version: r.Next()}.String()] != nil {
-		if refusal := r.Root(now, files[trust.File{Role: "root", Version: r.Next()}.String()]); refusal != nil {
-			return nil, refusal
-		}
-	}
-	for f, _, ok := r.Wanted(now); ok; f, _, ok = r.Wanted(now) {
-		var refusal *trust.Refusal
-		switch text := files[f.String()]; f.Role {
-		case "timestamp":
-			refusal = r.Timestamp(now, text)
-		case "snapshot":
-			refusal = r.Snapshot(now, text)
-		default:
-			refusal = r.Targets(now, f.Role, text)
-		}
-		if refusal != nil {
-			return nil, refusal
-		}
-	}
-	for {
-		found, need, refusal := r.Find(now, path)
-		if refusal != nil {
-			return nil, refusal
-		}
-		if need == "" {
-			return found, nil
-		}
-		f, _, refusal := r.Role(now, need)
-		if refusal != nil {
-			return nil, refusal
-		}
-		if refusal := r.Targets(now, need, files[f.String()]); refusal != nil {
-			return nil, refusal
-		}
+	get := func(f trust.File) ([]byte, error) { return files[f.String()], nil }
+	if err := r.Walk(now, get); err != nil {
+		return nil, err
 	}
+	return r.LookUp(now, path, get)
 }
 
 func TestPublish(t *testing.T) {
--- a/internal/trust/current.go
+++ b/internal/trust/current.go
@@ -468,12 +468,9 @@
 	if b.Want() > 0 || b.pieces {
 		return nil
 	}
-	b.sum.Write(b.kept)
-	if Sum(b.sum.Sum(nil)) != b.of.Sum {
-		b.bad = true
-		return b.repo.refuse(Mismatch, b.of.Path, "its SHA-256 is another")
+	if err := b.whole(); err != nil {
+		return err
 	}
-	b.sum = nil
 	err := b.pass(b.kept, pass)
 	b.kept = nil
 	return err
@@ -487,18 +484,26 @@
 		return b.repo.refuse(Mismatch, b.of.Path, "the piece from byte %d on has another SHA-256", b.at)
 	}
 	if b.Want() == 0 && b.sum != nil { // pieces are only as good as the whole
-		b.sum.Write(b.kept)
-		if Sum(b.sum.Sum(nil)) != b.of.Sum {
-			b.bad = true
-			return b.repo.refuse(Mismatch, b.of.Path, "its SHA-256 is another than its pieces add up to")
+		if err := b.whole(); err != nil {
+			return err
 		}
-		b.sum = nil
 	}
 	err := b.pass(b.kept, pass)
 	b.kept = b.kept[:0]
 	return err
 }
 
+// whole holds the sum of everything against the target's, before its last bytes are passed on.
+func (b *Body) whole() error {
+	b.sum.Write(b.kept)
+	if Sum(b.sum.Sum(nil)) != b.of.Sum {
+		b.bad = true
+		return b.repo.refuse(Mismatch, b.of.Path, "its SHA-256 is another")
+	}
+	b.sum = nil
+	return nil
+}
+
 func (b *Body) pass(p []byte, to func([]byte) error) error {
 	if b.sum != nil {
 		b.sum.Write(p)
--- /dev/null
+++ b/internal/trust/walk.go
@@ -0,0 +1,87 @@
+package trust
+
+import (
+	"fmt"
+
+	"github.com/theupdateframework/go-tuf/v2/metadata"
+)
+
+// Take takes a file by its role.
+func (r *Repository) Take(now Tick, f File, data []byte) *Refusal {
+	switch f.Role {
+	case metadata.ROOT:
+		return r.Root(now, data)
+	case metadata.TIMESTAMP:
+		return r.Timestamp(now, data)
+	case metadata.SNAPSHOT:
+		return r.Snapshot(now, data)
+	}
+	return r.Targets(now, f.Role, data)
+}
+
+// Get has a file for a walk; nil bytes without an error: there is none of this name.
+type Get func(f File) ([]byte, error)
+
+// Walk walks the client workflow (specification 5.3 to 5.6) from what is held: the chain of roots to its end, then
+// what a whole set lacks. Its error is a Refusal, or that of get.
+func (r *Repository) Walk(now Tick, get Get) error {
+	for {
+		f := File{metadata.ROOT, r.Next()}
+		data, err := get(f)
+		if err != nil {
+			return err
+		}
+		if data == nil {
+			break
+		}
+		if refusal := r.Root(now, data); refusal != nil {
+			return refusal
+		}
+	}
+	for f, _, ok := r.Wanted(now); ok; f, _, ok = r.Wanted(now) {
+		if f.Role == metadata.ROOT { // the newest that there is has expired, or an older one than was seen
+			if refusal := r.rooted(f.Role); refusal != nil {
+				return refusal
+			}
+			return fmt.Errorf("%s %s is not there", r.name, f)
+		}
+		if err := r.have(now, f, get); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Repository) have(now Tick, f File, get Get) error {
+	data, err := get(f)
+	if err != nil {
+		return err
+	}
+	if data == nil {
+		return fmt.Errorf("%s %s is not there", r.name, f)
+	}
+	if refusal := r.Take(now, f, data); refusal != nil {
+		return refusal
+	}
+	return nil
+}
+
+// LookUp finds a target, having what is lacking of the roles on the way.
+func (r *Repository) LookUp(now Tick, path string, get Get) (*Target, error) {
+	for {
+		t, need, refusal := r.Find(now, path)
+		switch {
+		case refusal != nil:
+			return nil, refusal
+		case need == "":
+			return t, nil
+		}
+		f, _, refusal := r.Role(now, need)
+		if refusal != nil {
+			return nil, refusal
+		}
+		if err := r.have(now, f, get); err != nil {
+			return nil, err
+		}
+	}
+}
