Keep the platform's counts in the ledger, beside the relay's own

The ledger named sources that nothing fed. It keeps a relay's own outcomes, flags, and what the platform counted, which may hold the same outcomes: bounds are taken from its own alone. A key file that is read in pieces is read whole.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -36,6 +36,7 @@
 	Offered(now choice.Tick, build uint16, state string)
 	Outcome(now choice.Tick, build uint16, opType, stage int, bad bool)
 	Flag(now choice.Tick, build uint16, opType, stage int, delay choice.Tick)
+	Tally(now choice.Tick, build uint16, opType, stage, many, failed int)
 	Voted(now choice.Tick, build uint16, stage int, verdict, why string)
 }
 
--- a/internal/gate/news.go
+++ b/internal/gate/news.go
@@ -153,6 +153,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.Counts.Tallies++
+	if w := g.hands.Witness; ok && w != nil {
+		w.Tally(g.now(), build, op, g.stage, many, failed)
+	}
 	if ok {
 		g.module.Tally(g.now(), build, op, many, failed, choice.Tick(took/tenth), choice.Tick(age/tenth))
 	}
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -13,6 +13,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"slices"
@@ -216,7 +217,7 @@
 		return nil, fmt.Errorf("%s: %w", path, ErrForm)
 	}
 	text := make([]byte, info.Size())
-	if _, err := in.Read(text); err != nil {
+	if _, err := io.ReadFull(in, text); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, ErrForm)
 	}
 	f := &file{}
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -9,7 +9,6 @@
 	"math"
 	"runtime"
 	"slices"
-	"strings"
 	"sync"
 
 	"golang.org/x/sync/errgroup"
@@ -429,12 +428,3 @@
 	}
 	return min(1, sum)
 }
-
-// names joins what a list has.
-func names[T any](all []T, of func(T) string) string {
-	var out []string
-	for _, x := range all {
-		out = append(out, of(x))
-	}
-	return strings.Join(out, ", ")
-}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -44,20 +44,15 @@
 // Source tells where an outcome was seen.
 type Source uint8
 
-// The sources. Restored is what a snapshot gave back, aged.
+// The sources. Flags and the platform's counts may be of outcomes that this relay saw itself: they are told beside
+// its own, and no bound is taken from them.
 const (
 	Own Source = iota
-	Peer
 	Flagged
 	Platform
-	Restored
 	sources
 )
 
-var sourceNames = [sources]string{"own", "other relays", "flags", "the platform", "before a restart"}
-
-func (s Source) String() string { return sourceNames[min(s, sources-1)] }
-
 // Cell counts outcomes of one op type in one wave from one source.
 type Cell struct {
 	Op   int     `json:"op"`
@@ -147,24 +142,33 @@
 	b.Last, b.State = now, state
 }
 
-// Outcome takes an outcome of this relay's own.
+// Outcome takes an outcome of this relay's own, of an op type at a build.
 func (l *Ledger) Outcome(now choice.Tick, number uint16, op, wave int, bad bool) {
-	l.From(now, number, op, wave, Own, bad)
+	x := 0.0
+	if bad {
+		x = 1
+	}
+	if b := l.of(now, number, op); b != nil {
+		b.add(op, wave, Own, 1, x)
+	}
 }
 
-// From takes an outcome of an op type at a build from a source.
-func (l *Ledger) From(now choice.Tick, number uint16, op, wave int, from Source, bad bool) {
+// Tally takes what the platform counted at a build.
+func (l *Ledger) Tally(now choice.Tick, number uint16, op, wave, many, failed int) {
+	if b := l.of(now, number, op); b != nil && many > 0 && failed >= 0 && failed <= many {
+		b.add(op, wave, Platform, float64(many), float64(failed))
+	}
+}
+
+// of gives the build that a report belongs to; one on a build that is not kept is an orphan.
+func (l *Ledger) of(now choice.Tick, number uint16, op int) *Build {
 	b := l.find(number)
 	if b == nil || op < 0 || op >= len(l.ops) {
 		l.Orphans++
-		return
-	}
-	x := 0.0
-	if bad {
-		x = 1
+		return nil
 	}
-	b.add(op, wave, from, 1, x)
 	b.Last = now
+	return b
 }
 
 func (b *Build) add(op, wave int, from Source, n, bad float64) {
@@ -181,9 +185,8 @@
 // Flag takes a wrong answer that was found so long after it was given. It belongs to the build that gave it, also
 // after that was judged; one of a build that is not kept is an orphan.
 func (l *Ledger) Flag(now choice.Tick, number uint16, op, wave int, delay choice.Tick) {
-	b := l.find(number)
-	if b == nil || op < 0 || op >= len(l.ops) {
-		l.Orphans++
+	b := l.of(now, number, op)
+	if b == nil {
 		return
 	}
 	step := 0
@@ -195,7 +198,6 @@
 	if b.State == "recalling" || b.State == "recalled" {
 		b.AfterEnd++
 	}
-	b.Last = now
 }
 
 // Voted keeps a vote with what was known when it was cast.
@@ -213,7 +215,7 @@
 	b.Votes = append(b.Votes, v)
 }
 
-// Known tells what is known of each op type at a build, over all waves; flags are not outcomes, and left out.
+// Known tells what this relay itself has seen of each op type at a build, over all waves.
 func (l *Ledger) Known(number uint16) (all []Known) {
 	b := l.find(number)
 	if b == nil {
@@ -221,7 +223,7 @@
 	}
 	all = make([]Known, len(l.ops))
 	for _, c := range b.Cells {
-		if c.From != Flagged {
+		if c.From == Own {
 			all[c.Op].N += c.N
 			all[c.Op].Bad += c.Bad
 		}
@@ -387,6 +389,15 @@
 				out = append(out, fmt.Sprintf("  %s: nothing is known.", k.Op))
 			}
 		}
+		many, failed := 0.0, 0.0
+		for _, c := range b.Cells {
+			if c.From == Platform {
+				many, failed = many+c.N, failed+c.Bad
+			}
+		}
+		if many > 0 {
+			out = append(out, fmt.Sprintf("  The platform counted %g failures among %g outcomes.", failed, many))
+		}
 		flags := int64(0)
 		for _, n := range b.Late {
 			flags += n
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -19,7 +19,9 @@
 	for i := range 40 {
 		l.Outcome(11*s, 7, i%2, i/20, i%10 == 0)
 	}
-	l.From(11*s, 7, 0, 0, Peer, true)
+	l.Outcome(11*s, 7, 0, 0, true)
+	l.Tally(11*s, 7, 1, 0, 50, 9)
+	l.Tally(11*s, 7, 1, 0, 5, 9) // makes no sense
 	l.Flag(12*s, 7, 0, 1, 30*s)
 	l.Voted(13*s, 7, 1, "go on", "evidence")
 	return l
@@ -48,7 +50,7 @@
 	}
 	text := strings.Join(l.Explain(), "\n")
 	for _, want := range []string{"Build 7, recalled", "read: 5 of 21 outcomes failed", "vote to go on at stage 1, because of evidence",
-		"1 of them after it was sent back", "4 reports were on builds"} {
+		"1 of them after it was sent back", "counted 9 failures among 50 outcomes", "4 reports were on builds"} {
 		if !strings.Contains(text, want) {
 			t.Errorf("%q is not said in\n%s", want, text)
 		}
