--- a/cmd/covectl/metadata.go
+++ b/cmd/covectl/metadata.go
@@ -147,6 +147,7 @@
 	Address string `arg:"" help:"HOST:PORT of the front."`
 	Server  string `arg:"" help:"Name of the server."`
 	Root    string `required:"" type:"existingfile" help:"The Director's pinned root."`
+	Partial bool   `help:"Verify the Director's targets alone, as a small server does."`
 }
 
 // Run verifies and prints the assignment.
@@ -155,7 +156,11 @@
 	if err != nil {
 		return err
 	}
-	all, err := service.Assignment("http://"+c.Address, c.Server, pinned, time.Now())
+	ask := service.Assignment
+	if c.Partial {
+		ask = service.PartialAssignment
+	}
+	all, err := ask("http://"+c.Address, c.Server, pinned, time.Now())
 	if err != nil {
 		return err
 	}
--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -57,15 +57,7 @@
 	op := map[string]any{"name": "a", "service_target": 1.0}
 	g := gate.New(1, map[string]any{"op_types": []map[string]any{op}}, gate.Hands{Log: func(string) {}, CloseIdle: func(string) {},
 		Watch: w.On, Fetch: w.Fetch, Hosts: func(_ bool, hosts []gate.Host) { lists <- hosts }})
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- w.Run(ctx, g, true) }()
-	t.Cleanup(func() {
-		cancel()
-		if err := <-ended; err != nil {
-			t.Error(err)
-		}
-	})
+	fleet.Running(t, func(ctx context.Context) error { return w.Run(ctx, g, true) })
 	return w, place, lists
 }
 
@@ -109,11 +101,7 @@
 	place.Move(second.Address())
 	until(t, lists, "the other agent's list", func(h []gate.Host) bool { return h[0].Name == "two" })
 	second.Close()
-	for end := time.Now().Add(10 * time.Second); w.Failures.Load() < 2; time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("a dead agent is not found out")
-		}
-	}
+	fleet.Until(t, "a dead agent is found out", func() bool { return w.Failures.Load() >= 2 })
 	place.Move(first.Address())
 	until(t, lists, "the first agent's list again", func(h []gate.Host) bool { return h[0].Name == "one" })
 }
@@ -158,11 +146,7 @@
 			w, _, lists := watched(t, s.Listener.Addr().String())
 			until(t, lists, "a good one", func(h []gate.Host) bool { return len(h) == 1 })
 			bad.Store(true)
-			for end := time.Now().Add(10 * time.Second); w.Failures.Load() < 2; time.Sleep(time.Millisecond) {
-				if time.Now().After(end) {
-					t.Fatal("it is not found out")
-				}
-			}
+			fleet.Until(t, "it is found out", func() bool { return w.Failures.Load() >= 2 })
 			for len(lists) > 0 {
 				if h := <-lists; len(h) != 1 || h[0].Name != "s-1" {
 					t.Errorf("a list of %+v was taken", h)
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -55,27 +55,10 @@
 				}
 			}})
 	g.List(true, []gate.Host{{Name: "s-1", Dial: "127.0.0.1:9", State: "up", Build: 1}})
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- d.Run(ctx, g) }()
-	t.Cleanup(func() {
-		cancel()
-		if err := <-ended; err != nil {
-			t.Error(err)
-		}
-	})
+	fleet.Running(t, func(ctx context.Context) error { return d.Run(ctx, g) })
 	return d, g, place, stages
 }
 
-func until(t *testing.T, what string, holds func() bool) {
-	t.Helper()
-	for end := time.Now().Add(10 * time.Second); !holds(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("not within 10 s: %s", what)
-		}
-	}
-}
-
 func heard(t *testing.T, stages chan gate.Stage, what string, holds func(gate.Stage) bool) {
 	t.Helper()
 	for timer := time.After(10 * time.Second); ; {
@@ -104,12 +87,12 @@
 	t.Cleanup(func() { cancel(); <-offered })
 	heard(t, stages, "build 2 is tested", func(s gate.Stage) bool { return s.Build == 2 && s.State == "testing" && s.Stage == 0 })
 	d.Vote(gate.Vote{Build: 2, Stage: 5, Verdict: "PROCEED"}) // no such stage
-	until(t, "the vote is moot", func() bool { return g.Snapshot().VoteEndings[choice.Moot] == 1 })
+	fleet.Until(t, "the vote is moot", func() bool { return g.Snapshot().VoteEndings[choice.Moot] == 1 })
 	d.Vote(gate.Vote{Build: 2, Stage: 0, Verdict: "PROCEED"})
 	heard(t, stages, "it goes on", func(s gate.Stage) bool { return s.Stage == 1 })
 	d.Vote(gate.Vote{Build: 2, Stage: 1, Verdict: "ROLLBACK"})
 	heard(t, stages, "it goes back", func(s gate.Stage) bool { return s.State == "recalling" && s.Cap == 0 })
-	until(t, "both votes are answered", func() bool { return g.Snapshot().VoteEndings[choice.Acked] == 2 })
+	fleet.Until(t, "both votes are answered", func() bool { return g.Snapshot().VoteEndings[choice.Acked] == 2 })
 	other, err := fleet.NewPlatform(nil, 9, []float64{1}, 0)
 	if err != nil {
 		t.Fatal(err)
@@ -120,7 +103,7 @@
 	for range 20 { // more than can wait: the last are dropped, nobody is kept
 		d.Vote(gate.Vote{Build: 9, Verdict: "HOLD"})
 	}
-	until(t, "some votes are dropped", func() bool { return d.Dropped.Load() > 0 })
+	fleet.Until(t, "some votes are dropped", func() bool { return d.Dropped.Load() > 0 })
 }
 
 // TestBadPlatforms: a stream that breaks, is silent or makes no sense is opened again; what came before stays.
@@ -153,7 +136,7 @@
 			t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
 			bad.Store(true)
 			d, _, _, stages := desk(t, s.Listener.Addr().String())
-			until(t, "it is opened again", func() bool { return d.Streams.Load() >= 3 })
+			fleet.Until(t, "it is opened again", func() bool { return d.Streams.Load() >= 3 })
 			for len(stages) > 0 {
 				if is := <-stages; is.Build != 1 || is.State != "live" {
 					t.Errorf("%+v was taken", is)
@@ -190,10 +173,10 @@
 			t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
 			d, g, _, _ := desk(t, s.Listener.Addr().String())
 			d.Vote(gate.Vote{Build: 1, Verdict: "HOLD"})
-			until(t, "it ended so", func() bool { return g.Snapshot().VoteEndings[c.want] == 1 })
+			fleet.Until(t, "it ended so", func() bool { return g.Snapshot().VoteEndings[c.want] == 1 })
 		})
 	}
 	d, g, _, _ := desk(t, "127.0.0.1:1")
 	d.Vote(gate.Vote{Build: 1, Verdict: "HOLD"})
-	until(t, "it could not be cast", func() bool { return g.Snapshot().VoteEndings[choice.ConnectFailed] == 1 })
+	fleet.Until(t, "it could not be cast", func() bool { return g.Snapshot().VoteEndings[choice.ConnectFailed] == 1 })
 }
--- a/internal/service/assign.go
+++ b/internal/service/assign.go
@@ -1,11 +1,14 @@
 package service
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"time"
 
+	"github.com/theupdateframework/go-tuf/v2/metadata"
+
 	"silvercove/internal/floor"
 	"silvercove/internal/trust"
 )
@@ -32,6 +35,32 @@
 	}
 }
 
+// PartialAssignment is what a server finds that verifies the Director's targets alone (partial verification): it
+// trusts the timestamp and snapshot for no more than the version to ask for.
+func PartialAssignment(front, server string, pinned []byte, at time.Time) ([]*trust.Target, error) {
+	get := Fetcher(front + "/director/" + server + "/metadata/")
+	root, err := (&metadata.Metadata[metadata.RootType]{}).FromBytes(pinned)
+	if err != nil {
+		return nil, err
+	}
+	var stamp struct{ Signed struct{ Version int64 } }
+	text, err := get(trust.File{Role: "timestamp"})
+	if err == nil {
+		err = json.Unmarshal(text, &stamp)
+	}
+	if err == nil {
+		text, err = get(trust.File{Role: "targets", Version: stamp.Signed.Version})
+	}
+	if err != nil {
+		return nil, err
+	}
+	all, refusal := trust.Partial(trust.Of(at), floor.InMemory(16, func(string) {}), "director", root, text, server)
+	if refusal != nil {
+		return nil, refusal
+	}
+	return all, nil
+}
+
 // Assignment asks a front what its Director tells a server, and verifies that from the Director's pinned root.
 func Assignment(front, server string, pinned []byte, at time.Time) ([]*trust.Target, error) {
 	now := trust.Of(at)
--- a/internal/service/helpers_test.go
+++ b/internal/service/helpers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -35,6 +36,8 @@
 	lasts   string
 	wave    string
 	survey  string
+	agent   string // of the mirrors' list, in place of their lines
+	from    string // directives that tell the Director of list and stages, in place of wave
 	agree   bool
 
 	front   *Metadata
@@ -117,7 +120,13 @@
 	fmt.Fprintf(&b, "metadata {\n  listen 127.0.0.1:0\n  floor %s\n  refresh 100ms\n  unconfirmed 100ms\n  survey %s\n%s\n",
 		filepath.Join(w.dir, "floor"), w.survey, w.extra)
 	fmt.Fprintf(&b, "  repository image {\n    root root.json\n")
+	if w.agent != "" {
+		fmt.Fprintf(&b, "    discovery %s\n", w.agent)
+	}
 	for i, m := range w.mirrors {
+		if w.agent != "" {
+			break
+		}
 		fmt.Fprintf(&b, "    mirror %s %s z%d %s\n", m.Name, m.Address(), i%2, w.states[i])
 	}
 	b.WriteString("  }\n")
@@ -128,7 +137,7 @@
 				fmt.Fprintf(&b, "    key %s%d.key\n", role, i)
 			}
 		}
-		b.WriteString("    running 1\n    package 1 app/1.tar\n    package 2 app/2.tar\n    package 3 app/3.tar\n    " + w.wave + "\n" +
+		b.WriteString("    running 1\n    package 1 app/1.tar\n    package 2 app/2.tar\n    package 3 app/3.tar\n    " + cmp.Or(w.from, w.wave) + "\n" +
 			strings.Join(w.servers, "\n") + "\n  }\n")
 	}
 	b.WriteString("}\n")
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -255,8 +255,8 @@
 	return m.outside(d)
 }
 
-// outside joins the Director to the platform and the list of servers, by a gate of its own. Its module
-// votes as a relay does; no commands go through it, so it votes by what others count.
+// outside joins the Director to the platform and the list of servers, by a gate of its own that hands on what it
+// hears. No commands go through it, so its module has nothing to vote by, and no vote is cast.
 func (m *Metadata) outside(d map[string]any) error {
 	discovery, _ := d["discovery"].(string)
 	address, _ := d["platform"].(string)
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -2,16 +2,21 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"silvercove/internal/repo"
+	"silvercove/internal/standin/fleet"
 	"silvercove/internal/standin/repository"
+	"silvercove/internal/trust"
 )
 
 // content makes a package of some length.
@@ -427,6 +432,7 @@
 	w.must(w.keeper.Add("app/1.tar", 1, content(50_000, 1)))
 	w.start()
 	w.until("it is current", func() bool { return w.current("c") == nil })
+	heap, running := usage()
 	way := &http.Transport{MaxIdleConnsPerHost: 256, MaxConnsPerHost: 256}
 	t.Cleanup(way.CloseIdleConnections)
 	checked := w.checker.Transport("all", "/r/image", way)
@@ -458,6 +464,11 @@
 	if s := w.front.Carrier.Status(); s.In != 0 {
 		t.Errorf("%d are still let in", s.In)
 	}
+	way.CloseIdleConnections()
+	w.until("nothing is kept of them", func() bool {
+		now, going := usage()
+		return now < heap+(8<<20) && going < running+64
+	})
 	w.clean()
 }
 
@@ -625,3 +636,108 @@
 	}
 	w.clean()
 }
+
+// usage is what the heap holds, and how many goroutines there are.
+func usage() (heap uint64, running int) {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc, runtime.NumGoroutine()
+}
+
+// TestListsAndStagesFromOutside: agents tell which mirrors and servers are there, and the platform how far a package goes.
+func TestListsAndStagesFromOutside(t *testing.T) {
+	w := newWorld(t, 2, repo.Life{})
+	w.must(w.keeper.Add("app/1.tar", 1, content(100, 1)))
+	w.must(w.keeper.Add("app/2.tar", 2, content(100, 2)))
+	var mu sync.Mutex
+	state := "up"
+	agent := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
+		if req.URL.Query().Has("since") {
+			time.Sleep(50 * time.Millisecond)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		var hosts []string
+		for i, m := range w.mirrors {
+			is := "up"
+			if i == 0 {
+				is = state
+			}
+			hosts = append(hosts, fmt.Sprintf(`{"host":%q,"dial":%q,"health":%q,"share":1,"born_ms":0,"image_id":1}`, m.Name,
+				m.Address(), is))
+		}
+		fmt.Fprintf(rw, `{"seq":1,"whole":true,"hosts":[%s]}`, strings.Join(hosts, ","))
+	}))
+	t.Cleanup(func() { agent.CloseClientConnections(); agent.Close() })
+	w.agent = agent.Listener.Addr().String()
+	var all []*fleet.Unit
+	for i := range 4 {
+		name := fmt.Sprint("s", i)
+		w.server(name, "z", "large")
+		u, err := fleet.NewUnit(name, 1, nil)
+		w.must(err)
+		t.Cleanup(u.Close)
+		all = append(all, u)
+	}
+	p, err := fleet.NewPlatform(all, 1, []float64{0.5, 1}, 0)
+	w.must(err)
+	t.Cleanup(p.Close)
+	w.from = fmt.Sprintf("discovery %s\n    platform %s", p.Address(), p.Address())
+	w.start()
+	w.until("it is current", func() bool { return w.current("c") == nil })
+	count := func() [2]int {
+		fleet, told, _ := w.front.Director().Count()
+		return [2]int{fleet, told}
+	}
+	w.until("the fleet is known", func() bool { return count()[0] == 4 })
+	fleet.Running(t, func(ctx context.Context) error { p.Offer(ctx, 2, 0); return nil })
+	w.until("two of four are told", func() bool { return count() == [2]int{4, 2} })
+	all[0].Set("removed", 0) // at three the half is one
+	p.Changed()
+	w.until("one of three", func() bool { return count() == [2]int{3, 1} })
+	resp, err := http.Post("http://"+p.Address()+"/judgements", "", strings.NewReader(`{"Revision":2,"Wave":0,"Decision":"ROLLBACK"}`))
+	w.must(err)
+	resp.Body.Close()
+	w.until("it is taken back", func() bool { return count()[1] == 0 })
+	mu.Lock()
+	state = "draining"
+	mu.Unlock()
+	w.until("the drain is heard of", func() bool { return w.front.Carrier.Status().Repositories[0].Mirrors == 1 })
+	before := len(w.mirrors[0].Asked())
+	for range 20 {
+		w.current("c")
+		w.get("c", "/r/image/targets/app/1.tar")
+	}
+	if n := len(w.mirrors[0].Asked()) - before; n > 0 {
+		t.Errorf("a drained mirror was asked %d times", n)
+	}
+	w.clean()
+}
+
+// TestPartialVerification: a small server verifies the Director's targets alone, and is not told another's.
+func TestPartialVerification(t *testing.T) {
+	w := newWorld(t, 2, repo.Life{})
+	w.must(w.keeper.Add("app/1.tar", 1, content(100, 1)))
+	w.server("s1", "z", "large")
+	w.start()
+	var got []*trust.Target
+	w.until("it is told package 1", func() (ok bool) {
+		var err error
+		got, err = PartialAssignment(w.url(), "s1", w.dirRepo.Root(1), w.clock.Now())
+		return err == nil && len(got) == 1
+	})
+	whole, err := Assignment(w.url(), "s1", w.dirRepo.Root(1), w.clock.Now())
+	if err != nil || len(whole) != 1 || whole[0].Sum != got[0].Sum || got[0].Path != "app/1.tar" {
+		t.Errorf("%+v, %+v, %v", got, whole, err)
+	}
+	if _, err := PartialAssignment(w.url(), "s1", w.keeper.Root(1), w.clock.Now()); err == nil {
+		t.Error("it is believed by another repository's root")
+	}
+	if _, err := PartialAssignment(w.url(), "s1", w.dirRepo.Root(1), w.clock.Now().Add(time.Hour)); err == nil {
+		t.Error("it is believed past its end")
+	}
+	if _, err := Assignment(w.url(), "nobody", w.dirRepo.Root(1), w.clock.Now()); err == nil {
+		t.Error("a server that is not there is told something")
+	}
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -243,6 +243,7 @@
 		Host   string  `json:"host"`
 		Dial   string  `json:"dial"`
 		Site   string  `json:"site"`
+		Class  string  `json:"class"`
 		Health string  `json:"health"`
 		Share  float64 `json:"share"`
 		Born   int64   `json:"born_ms"`
@@ -251,7 +252,7 @@
 	hosts := []host{}
 	for _, u := range p.Units {
 		u.mu.Lock()
-		h := host{u.Name, u.listener.Addr().String(), "z", u.state, 1, 0, u.build}
+		h := host{u.Name, u.listener.Addr().String(), "z", "large", u.state, 1, 0, u.build}
 		if !u.start.IsZero() {
 			h.Born = u.start.UnixMilli()
 		}
@@ -442,3 +443,34 @@
 		return false
 	}
 }
+
+// Test is what a test lends to a helper; *testing.T is one.
+type Test interface {
+	Helper()
+	Cleanup(func())
+	Error(args ...any)
+	Fatalf(form string, args ...any)
+}
+
+// Running runs something until the test ends, and waits for it.
+func Running(t Test, run func(ctx context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// Until waits for something to hold, for ten seconds at the most.
+func Until(t Test, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within 10 s: %s", what)
+		}
+	}
+}
--- a/internal/units/units_test.go
+++ b/internal/units/units_test.go
@@ -183,10 +183,10 @@
 	if h.Opened.Load() != 1 || h.Reused.Load() != 4 {
 		t.Errorf("opened %d, reused %d", h.Opened.Load(), h.Reused.Load())
 	}
-	until(t, "an idle connection is closed ahead of the unit", func() bool { open, _ := h.InUse(); return open == 0 })
+	fleet.Until(t, "an idle connection is closed ahead of the unit", func() bool { open, _ := h.InUse(); return open == 0 })
 	h.ask(time.Second)
 	u.Set("up", 2) // another process: its connections are gone, and that is found before anything is sent
-	until(t, "the closing has come", func() bool {
+	fleet.Until(t, "the closing has come", func() bool {
 		state, _ := h.ask(time.Second)
 		return state == pgwire.Complete
 	})
@@ -222,14 +222,5 @@
 	_, dial := unit(t, false, 0)
 	h := newHouse(t, 4, time.Minute, dial)
 	h.Probe(h.gate.Ready()[0])
-	until(t, "it has connected", func() bool { return h.Opened.Load() == 1 })
-}
-
-func until(t *testing.T, what string, holds func() bool) {
-	t.Helper()
-	for end := time.Now().Add(10 * time.Second); !holds(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("not within 10 s: %s", what)
-		}
-	}
+	fleet.Until(t, "it has connected", func() bool { return h.Opened.Load() == 1 })
 }
