--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -647,3 +647,21 @@
 	}
 	b.WrongAnswer(b.now, b.units[0], redeliverable, Second)
 }
+
+// While nothing is known of the earlier build a few good outcomes rule nothing out.
+func TestUnknownBaseRulesNothingOut(t *testing.T) {
+	b := newBench(nil)
+	b.unit(1, 1, 0)
+	b.unit(2, 2, 0)
+	b.news(2, 0, OnTrial, 0.2)
+	for range 12 {
+		b.judged.rule(redeliverable, 0, b.usual(redeliverable), effect)
+	}
+	if b.judged.out[redeliverable] >= 1/missed {
+		t.Errorf("ruled out by 12 outcomes, wealth %v", b.judged.out[redeliverable])
+	}
+	for range keptUnit {
+		b.base.add(redeliverable, 1, kept)
+	}
+	check(t, "a known base", b.usual(redeliverable), b.share(redeliverable))
+}
--- a/internal/floor/floor_test.go
+++ b/internal/floor/floor_test.go
@@ -117,6 +117,9 @@
 		if err != nil {
 			t.Fatalf("cut at %d: %v", cut, err)
 		}
+		if f.Cut != cut-n {
+			t.Fatalf("cut at %d: %d bytes are said to be cut off, %d were", cut, f.Cut, cut-n)
+		}
 		for key, v := range whole {
 			if is, _ := f.Seen(key); is != v {
 				t.Fatalf("cut at %d: %s is %d, wanted %d", cut, key, is, v)
--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -191,3 +191,34 @@
 	w.On(true)
 	until(t, lists, "the watch again", func([]gate.Host) bool { return true })
 }
+
+// TestMovedWatchAsksForTheWhole: another agent counts its versions otherwise, so the first call there names none.
+func TestMovedWatchAsksForTheWhole(t *testing.T) {
+	agent := func(name string) (address string, queries chan string) {
+		queries = make(chan string, 256)
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			select {
+			case queries <- req.URL.RawQuery:
+			default:
+			}
+			if req.URL.Query().Has("since") {
+				time.Sleep(20 * time.Millisecond)
+			}
+			fmt.Fprint(w, `{"seq":900,"whole":true,"hosts":[`+strings.Replace(host, "s-1", name, 1)+`]}`)
+		}))
+		t.Cleanup(s.Close)
+		return s.Listener.Addr().String(), queries
+	}
+	first, _ := agent("one")
+	second, queries := agent("two")
+	_, place, lists := watched(t, first)
+	until(t, lists, "the first agent's", func(h []gate.Host) bool { return h[0].Name == "one" })
+	place.Move(second)
+	until(t, lists, "the second agent's", func(h []gate.Host) bool { return h[0].Name == "two" })
+	if q := <-queries; q != "" {
+		t.Errorf("its first call there is %q", q)
+	}
+	if q := <-queries; !strings.HasPrefix(q, "since=900") {
+		t.Errorf("its second call there is %q", q)
+	}
+}
--- a/internal/trust/trust_test.go
+++ b/internal/trust/trust_test.go
@@ -421,6 +421,21 @@
 		})
 	}
 	b := newBench(t)
+	// A mirror that gives the wrong start of a piece and breaks off spoils what another adds to it; from then on each
+	// piece is one mirror's alone, and the good one gets through.
+	spliced := b.repo.Open(&trust.Target{Path: "p", Length: int64(len(whole)), Sum: sum, Custom: pieces(4096)})
+	var got []byte
+	pass := func(p []byte) error { got = append(got, p...); return nil }
+	for try := range 2 {
+		spliced.Add([]byte("wrong"), pass)
+		spliced.Resume()
+		if err := spliced.Add(whole[spliced.Next():], pass); (err == nil) != (try == 1) {
+			t.Errorf("try %d: %v", try, err)
+		}
+	}
+	if !bytes.Equal(got, whole) || !spliced.Done() {
+		t.Errorf("%d bytes", len(got))
+	}
 	body := b.repo.Open(&trust.Target{Length: int64(len(whole)), Sum: sum})
 	if err := body.Add(append(whole, 'x'), func([]byte) error { return nil }); err == nil || !body.Spoilt() {
 		t.Error("endless data are not refused")
