Ask discovery for the list again only at the module's word, and wait out its queue

A probe showed that 'malformed' was a 503, from 1.67 s to the end. Ruled out: spoilt answers (none in the probe), the platform's stream (not cut once), units (they answered the few relays that knew them). Lines at fault: list.Watch.Run paused limit/8, 62 ms, after each failure although the module has a pause that grows up to half of rules.ask_every; and call gave up after 1.5 s, while discovery queues a call that begins a watch for 2 s.

Now a failed watch that had to be asked for ends until On comes; the call that begins one may wait as long as a call to the platform may; a 503 is its own ending, 'turned away'. TestOverbookedDiscovery: 60 relays ask at once a discovery that takes 100 a second; without the change never all.

--- a/cmd/silvercove/main.go
+++ b/cmd/silvercove/main.go
@@ -163,7 +163,7 @@
 	if grace == 0 {
 		grace = calls
 	}
-	r.watch = list.New(r.discovery, t.seq, grace, grace/2, r.room, say)
+	r.watch = list.New(r.discovery, t.seq, grace, grace/2, calls, r.room, say)
 	r.desk = platform.New(r.platform, calls, r.room, say)
 	hands := gate.Hands{
 		Vote: r.desk.Vote, Watch: r.watch.On, Fetch: r.watch.Fetch, Log: say,
--- a/internal/lab/loopback.go
+++ b/internal/lab/loopback.go
@@ -116,7 +116,7 @@
 	set["limits.connect_timeout"] = 0.5
 	room := link.NewRoom(16 << 20)
 	quiet := func(string) {}
-	n.watch = list.New(link.NewPlace(plat.Address()), 0, time.Second, time.Second/2, room, quiet)
+	n.watch = list.New(link.NewPlace(plat.Address()), 0, time.Second, time.Second/2, time.Second, room, quiet)
 	n.desk = platform.New(link.NewPlace(plat.Address()), time.Second, room, quiet)
 	n.gate = gate.New(r.Seed<<8^uint64(no), set, gate.Hands{Vote: n.desk.Vote, Watch: n.watch.On, Fetch: n.watch.Fetch,
 		Log: quiet, Probe: func(u gate.Unit) { n.pools.Probe(u) }, CloseIdle: func(name string) { n.pools.CloseIdle(name) }})
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -20,21 +20,22 @@
 
 // The ways in which a connection can end.
 const (
-	Open      How = iota // it has not
-	Refused              // it was refused, or there was nothing to open it with
-	NotUp                // it was not up in its time
-	Closed               // the other side closed it
-	Broke                // it was reset or failed otherwise
-	Late                 // its time limit has passed
-	CalledOff            // this side gave it up
-	Malformed            // what came makes no sense
-	Overlong             // what came is longer than is allowed
-	Finished             // this side was through with it
-	Hows                 // how many there are
+	Open       How = iota // it has not
+	Refused               // it was refused, or there was nothing to open it with
+	NotUp                 // it was not up in its time
+	Closed                // the other side closed it
+	Broke                 // it was reset or failed otherwise
+	Late                  // its time limit has passed
+	CalledOff             // this side gave it up
+	Malformed             // what came makes no sense
+	Overlong              // what came is longer than is allowed
+	Finished              // this side was through with it
+	TurnedAway            // the other side is there and takes no more now
+	Hows                  // how many there are
 )
 
 var hows = [Hows]string{"open", "refused", "not up in time", "closed by the other side", "broken",
-	"past its time limit", "called off", "malformed", "overlong", "finished"}
+	"past its time limit", "called off", "malformed", "overlong", "finished", "turned away"}
 
 func (h How) String() string { return hows[min(h, Hows-1)] }
 
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -57,6 +57,7 @@
 	seq     int64
 	wait    time.Duration // that a call may wait for something newer
 	limit   time.Duration // beyond that
+	queue   time.Duration // and for a call that begins a watch where discovery is asked for it
 	room    *link.Room
 	log     func(string)
 	on      chan bool // whether to watch; the last word counts
@@ -66,9 +67,10 @@
 	Answers, Failures atomic.Int64
 }
 
-// New makes a watch at a place that goes on from a version. A call has limit more time than it may wait.
-func New(place *link.Place, seq int64, wait, limit time.Duration, room *link.Room, log func(string)) *Watch {
-	return &Watch{place: place, seq: seq, wait: wait, limit: limit, room: room, log: log,
+// New makes a watch at a place that goes on from a version. A call has limit more time than it may wait, or queue
+// where it begins a watch that had to be asked for.
+func New(place *link.Place, seq int64, wait, limit, queue time.Duration, room *link.Room, log func(string)) *Watch {
+	return &Watch{place: place, seq: seq, wait: wait, limit: limit, queue: queue, room: room, log: log,
 		on: make(chan bool, 1), fetch: make(chan struct{}, 1)}
 }
 
@@ -95,11 +97,15 @@
 	}
 }
 
-// Run watches until the context ends. Without a watch it waits for Fetch.
+// Run watches until the context ends; on: from the start, and again by itself after a call that failed. Else it
+// begins a watch when On says so, and one that has failed waits for the next word: the module knows how often all
+// relays together may ask, and who asks at once when turned away keeps discovery overbooked for everyone.
 func (w *Watch) Run(ctx context.Context, g *gate.Gate, on bool) error {
 	w.gate = g
+	alone := on
 	var l *link.Link
 	at, lost := "", false // lost: the changes can no longer be followed from w.seq on
+	begins := true        // the next call begins a watch
 	defer func() {
 		if l != nil {
 			l.Close()
@@ -128,19 +134,24 @@
 			l.Close()
 			l = nil
 		}
-		lost = lost || address != at && at != "" // the agent there may count its versions otherwise
+		if address != at && at != "" {
+			lost, begins = true, true // the agent there may count its versions otherwise
+		}
 		at = address
 		var end link.End
-		l, end = w.call(here, address, l, whole || lost)
+		l, end = w.call(here, address, l, whole || lost, begins && !alone)
 		moved := here.Err() != nil
 		release()
-		lost = lost && end.Over()
-		if end.Over() && !moved {
-			w.Failures.Add(1)
-			w.log(fmt.Sprintf("list: call failed: %s", end.How))
-			w.gate.ListFailed()
+		lost, begins = lost && end.Over(), end.Over()
+		if !end.Over() || moved {
+			continue
+		}
+		w.Failures.Add(1)
+		w.log(fmt.Sprintf("list: call failed: %s", end.How))
+		if on = alone; alone {
 			w.pause(ctx)
 		}
+		w.gate.ListFailed()
 	}
 	return nil
 }
@@ -153,14 +164,19 @@
 	}
 }
 
-// call makes one call, on the connection that is open or on a new one, and takes its answer.
-func (w *Watch) call(ctx context.Context, address string, l *link.Link, whole bool) (*link.Link, link.End) {
+// call makes one call, on the connection that is open or on a new one, and takes its answer. One that discovery
+// itself has to answer waits in its queue first.
+func (w *Watch) call(ctx context.Context, address string, l *link.Link, whole, queued bool) (*link.Link, link.End) {
 	path, wait := "/v1/servers", time.Duration(0)
 	if !whole {
 		wait = w.wait
 		path = fmt.Sprintf("/v1/servers?since=%d&timeout_ms=%d", w.seq, wait.Milliseconds())
 	}
-	limited, cancel := context.WithTimeout(ctx, wait+w.limit)
+	limit := w.limit
+	if queued {
+		limit = w.queue
+	}
+	limited, cancel := context.WithTimeout(ctx, wait+limit)
 	defer cancel()
 	if l == nil || !l.Quiet() {
 		if l != nil {
@@ -196,6 +212,8 @@
 		switch body = out; {
 		case err == http1.ErrOverlong:
 			return link.End{How: link.Overlong, Sent: true}
+		case a.Done && err == nil && a.Status/100 == 5:
+			return link.End{How: link.TurnedAway, Sent: true}
 		case err != nil, a.Done && a.Status != 200:
 			return link.End{How: link.Malformed, Sent: true}
 		case a.Done:
--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -53,7 +54,7 @@
 	t.Helper()
 	lists = make(chan []gate.Host, 256)
 	place = link.NewPlace(address)
-	w = New(place, 0, 300*time.Millisecond, 200*time.Millisecond, link.NewRoom(1<<20), func(string) {})
+	w = New(place, 0, 300*time.Millisecond, 200*time.Millisecond, time.Second, link.NewRoom(1<<20), func(string) {})
 	op := map[string]any{"name": "a", "service_target": 1.0}
 	g := gate.New(1, map[string]any{"op_types": []map[string]any{op}}, gate.Hands{Log: func(string) {}, CloseIdle: func(string) {},
 		Watch: w.On, Fetch: w.Fetch, Hosts: func(_ bool, hosts []gate.Host) { lists <- hosts }})
@@ -192,6 +193,67 @@
 	until(t, lists, "the watch again", func([]gate.Host) bool { return true })
 }
 
+// overbooked is a discovery that takes 100 new watches a second, queues them for 200 ms at the most and turns away
+// what would wait longer, at the cost of a call. A watch that stands costs it nothing.
+type overbooked struct {
+	mu     sync.Mutex
+	free   time.Time // when it has answered all so far
+	stands map[string]bool
+	calls  int
+}
+
+func (o *overbooked) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	o.mu.Lock()
+	if o.stands[req.RemoteAddr] {
+		o.mu.Unlock()
+		time.Sleep(100 * time.Millisecond)
+		fmt.Fprint(w, `{"seq":3,"hosts":[]}`)
+		return
+	}
+	now := time.Now()
+	if o.calls++; o.free.Before(now) {
+		o.free = now
+	}
+	wait := o.free.Sub(now)
+	o.free = o.free.Add(10 * time.Millisecond)
+	full := wait > 200*time.Millisecond
+	o.stands[req.RemoteAddr] = !full
+	o.mu.Unlock()
+	if full {
+		http.Error(w, "", http.StatusServiceUnavailable)
+		return
+	}
+	time.Sleep(wait)
+	fmt.Fprint(w, `{"seq":3,"whole":true,"hosts":[`+host+`]}`)
+}
+
+// TestOverbookedDiscovery: where the list comes only when asked for, many relays that start at once all get it: who
+// is turned away waits for the module's word, and who is queued is not given up.
+func TestOverbookedDiscovery(t *testing.T) {
+	const relays = 60
+	o := &overbooked{stands: map[string]bool{}}
+	s := httptest.NewServer(o)
+	t.Cleanup(s.Close)
+	var have atomic.Int64
+	for seed := range uint64(relays) {
+		place := link.NewPlace(s.Listener.Addr().String())
+		w := New(place, 0, 150*time.Millisecond, 40*time.Millisecond, time.Second, link.NewRoom(1<<20), func(string) {})
+		var once sync.Once
+		op := map[string]any{"name": "a", "service_target": 1.0}
+		g := gate.New(seed, map[string]any{"op_types": []map[string]any{op}, "discovery": "subscribe", "relays": float64(relays),
+			"rules.ask_every": 4.0}, gate.Hands{Log: func(string) {}, CloseIdle: func(string) {}, Watch: w.On, Fetch: w.Fetch,
+			Hosts: func(bool, []gate.Host) { once.Do(func() { have.Add(1) }) }})
+		fleet.Running(t, g.Tick)
+		fleet.Running(t, func(ctx context.Context) error { return w.Run(ctx, g, false) })
+	}
+	fleet.Until(t, "all of them have the list", func() bool { return have.Load() == relays })
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.calls > 5*relays {
+		t.Errorf("%d calls for %d relays", o.calls, relays)
+	}
+}
+
 // TestMovedWatchAsksForTheWhole: another agent counts its versions otherwise, so the first call there names none.
 func TestMovedWatchAsksForTheWhole(t *testing.T) {
 	agent := func(name string) (address string, queries chan string) {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -190,7 +190,7 @@
 		return nil, err
 	}
 	if address, ok := r["discovery"].(string); ok {
-		watch := list.New(link.NewPlace(address), 0, time.Second, time.Second/2, m.room, m.say)
+		watch := list.New(link.NewPlace(address), 0, time.Second, time.Second/2, time.Second, m.room, m.say)
 		watch.Fetch()
 		m.watches = append(m.watches, func(ctx context.Context) error { return watch.Run(ctx, out.Gate(), true) })
 	}
@@ -278,7 +278,7 @@
 		m.watches = append(m.watches, func(ctx context.Context) error { return desk.Run(ctx, g) })
 	}
 	if discovery != "" {
-		watch := list.New(link.NewPlace(discovery), 0, time.Second, time.Second/2, m.room, m.say)
+		watch := list.New(link.NewPlace(discovery), 0, time.Second, time.Second/2, time.Second, m.room, m.say)
 		watch.Fetch()
 		m.watches = append(m.watches, func(ctx context.Context) error { return watch.Run(ctx, g, true) })
 	}
