Judge a build by the platform's counts too, held against those of the earlier build

A bad build went through all three stages; from 30 s on 300 relays queued 50 deliveries at each unit (p50 3.7 s, refused 39%, timed out 32%) to the end. No relay logged an alarm; the platform had counted it while the old machines still stood: 30.990 T build 64 set-caption n 103 bad 0 mean 300ms 30.990 T build 65 set-caption n 15 bad 10 mean 2.17s 30.990 T build 64 sell-licence n 93 bad 0 mean 312ms 30.990 T build 65 sell-licence n 17 bad 14 mean 2.76s Ruled out: handshakes (one relay opened 48 connections in 30 s), the list (all relays had it), cold units (build 64, as cold, was served). Lines at fault: spares leaves out what ended without a sign of life from its unit, which at 3 commands a second over 149 units is every one, and Tally dropped the only figures of the whole fleet.

Now the counts are one more stream: the same at every relay, so its level is not divided; its edge is the counted share of the earlier build plus what slowness allows for the load of units on trial; it rests where the earlier build was not counted in the last two periods.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -10,8 +10,8 @@
 //  2. commands that find no room are held, and given up when the target is lost
 //  3. units: an order of the relay's own, a sequential test, a trickle that doubles
 //  4. the cold budget, one for all relays
-//  5. a test for each op type and one for wrong answers, fed by peers where they may talk, and their duals,
-//     which rule a failure share out before a vote to go on
+//  5. a test for each op type, one for wrong answers and one for what the platform counts, fed by peers where they
+//     may talk, and their duals, which rule a failure share out before a vote to go on
 //  6. lateness against the earlier build, scored as the time-out of a delivery
 package choice
 
@@ -424,6 +424,27 @@
 	}
 }
 
+// Tally takes what the platform counted of all relays' outcomes in a period, bad ones spread evenly: a stream of its
+// own, one and the same for the fleet, against its counts of the earlier build in the same periods, raised for the
+// load of units on trial. Guards against builds whose units stop answering where each relay sees next to nothing of
+// a unit, so that silence speaks for units everywhere; hurts where the trial's units alone are cut off.
+func (r *Relay) Tally(now Tick, build uint16, opType, many, failed int, took, age Tick) {
+	r.now = now
+	j, last := r.judged, len(r.opTypes)+3
+	failed = min(failed, many)
+	for i := range min(many, keptFlags) {
+		x := float64((i+1)*failed/many - i*failed/many)
+		switch {
+		case build < j.build:
+			r.base.add(last, x, keptFlags)
+			r.counted = now
+		case build == j.build && r.counted > 0 && now-r.counted <= 2*r.span("rollout.metrics_period"):
+			r.see(1+last, x, r.share(last)+burden+margin)
+		}
+	}
+	r.consider()
+}
+
 // drawl is the edge of slowness.
 func (r *Relay) drawl() float64 {
 	return min(r.share(len(r.opTypes)+1), r.judged.before+excuse) + burden + margin
@@ -661,13 +682,15 @@
 	}
 	ops := len(r.opTypes)
 	r.tell = make([]byte, 2*ops+2)
-	r.judged = &trial{build: build, sample: newSample(ops), streams: make([]stream, ops+4), out: slices.Repeat([]float64{1}, ops+1),
+	r.judged = &trial{build: build, sample: newSample(ops), streams: make([]stream, ops+5), out: slices.Repeat([]float64{1}, ops+1),
 		before: r.share(ops + 1), middle: slices.Clone(r.middle), acked: float64(len(r.acks)),
 		whole: max(1, r.whole), places: float64(len(r.units) - r.running(build))}
 	for i := range r.judged.streams {
 		r.judged.streams[i].level = alpha / float64(ops)
 	}
-	r.judged.streams[0].level, r.judged.streams[ops+1].level = alpha, alpha
+	for _, whole := range []int{0, ops + 1, ops + 4} {
+		r.judged.streams[whole].level = alpha
+	}
 	// Load can mislead a relay as to slowness, and one misled relay decides for all.
 	r.judged.streams[ops+2].level = alpha / max(1, r.num("relays"))
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -459,6 +459,50 @@
 	}
 }
 
+// TestPlatformCounts: a build whose units stop answering shows to no relay that sees next to nothing of each unit,
+// as silence speaks for units; it shows in what the platform counts of all of them.
+func TestPlatformCounts(t *testing.T) {
+	for _, c := range []struct {
+		name                      string
+		base, baseBad, trial, bad int // samples of a period at the earlier build and at the one on trial
+		later                     Tick
+		periods                   int
+		alarm                     bool
+	}{
+		{"units that stop answering", 100, 2, 16, 12, 0, 1, true},
+		{"as good as before", 100, 2, 16, 0, 0, 20, false},
+		{"some more fail, by the load of units on trial", 100, 2, 20, 3, 0, 20, false},
+		{"deliveries lost at both builds alike", 100, 40, 20, 8, 0, 20, false},
+		{"nothing counted at the earlier build", 0, 0, 20, 20, 0, 5, false},
+		{"not for long", 100, 2, 20, 20, 5 * Second, 1, false},
+		{"more failures than samples are no more than all", 100, 2, 16, 1 << 30, 0, 1, true},
+		{"counts that make no sense", 100, 2, -5, 3, 0, 5, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(map[string]any{"relays": 300.0, "rollout.metrics_period": 2.0})
+			b.news(1, 0, Released, 1)
+			b.unit(1, 1, 0)
+			b.news(2, 0, OnTrial, 0.2)
+			b.unit(2, 2, 0)
+			for range 4 {
+				b.Tally(b.now, 1, 0, c.base, c.baseBad, 100, 9000)
+			}
+			b.now += c.later
+			for range c.periods {
+				b.now += 2 * Second
+				if c.later == 0 {
+					b.Tally(b.now, 1, 0, c.base, c.baseBad, 100, 9000)
+				}
+				b.Tally(b.now, 2, 0, c.trial, c.bad, 100, 9000)
+			}
+			check(t, "alarm", b.judged.alarm != "", c.alarm)
+			if c.alarm {
+				check(t, "verdict", b.verdict(), GoBack)
+			}
+		})
+	}
+}
+
 func TestRelaysTellEachOther(t *testing.T) {
 	b := newBench(map[string]any{"limits.peers": true})
 	b.news(1, 0, Released, 1)
--- a/choice/help.go
+++ b/choice/help.go
@@ -60,13 +60,13 @@
 }
 
 // sample is the last outcomes at one build, 1 for a bad one: for each op type, then
-// flags among answers, then slow ones among deliveries, then resets among them.
+// flags among answers, then slow ones among deliveries, then resets among them, then what the platform counted.
 type sample struct {
 	bad [][]float64
 }
 
 func newSample(opTypes int) *sample {
-	return &sample{bad: make([][]float64, opTypes+3)}
+	return &sample{bad: make([][]float64, opTypes+4)}
 }
 
 func (s *sample) add(which int, bad float64, most int) {
@@ -76,7 +76,7 @@
 // count counts the bad ones and all of them, for all op types together with -1.
 func (s *sample) count(which int) (bad, n float64) {
 	for i, outcomes := range s.bad {
-		if which == i || which < 0 && i < len(s.bad)-3 {
+		if which == i || which < 0 && i < len(s.bad)-4 {
 			bad += mean(outcomes) * float64(len(outcomes))
 			n += float64(len(outcomes))
 		}
@@ -206,9 +206,7 @@
 
 func (r *Relay) lane(op int) *lane { return &r.lanes[min(op, len(r.lanes)-1)] }
 
-// The design judges by own outcomes: Tally, the platform's count, is not used, nor are probes.
-func (r *Relay) Tally(now Tick, build uint16, opType, many, failed int, took, age Tick) { r.now = now }
-
+// Probed changes nothing: the design judges by outcomes.
 func (r *Relay) Probed(now Tick, u *Unit, ending Ending, took Tick, load []float64) { r.now = now }
 
 // Reason says why a vote of this kind is cast now.
@@ -247,7 +245,7 @@
 // streamName says in the log what a stream counts.
 func streamName(which, ops int) string {
 	name := map[int]string{0: "all commands", ops + 1: "wrong answers", ops + 2: "slowness",
-		ops + 3: "resets"}[which]
+		ops + 3: "resets", ops + 4: "the platform's counts"}[which]
 	if name == "" {
 		name = fmt.Sprint("op type ", which-1)
 	}
--- a/choice/host.go
+++ b/choice/host.go
@@ -198,6 +198,7 @@
 
 	base     *sample // of the earlier build
 	compared Tick    // when it last gave an outcome
+	counted  Tick    // when the platform last counted some of it
 	judged   *trial
 	ballot   ballot
 
