Bound what is kept of units, doors, idle lists and forward-only keys

gate.units and gate.byDoor kept every unit that ever was, choice.forward every key that the newest build had answered, and units.Pools a list for each unit's name. Now the gate forgets units that have gone, the longest first, once more of them are kept than are listed, nothing is out at them, and the cold time, its window and the exposure window have passed since; their doors are used again. Keys go into filters of 256 kB, one for each of the three newest builds, made only where the settings ask for forward-only keys: a filter may take a key for an answered one (1 in 100 with 100,000 keys), which only keeps that command from the earlier build, and never the other way. A unit's list of idle connections goes with its last one.

TestMonth: 3,000 rollouts of 12 units, before 36,000 units kept, now 36 at the most, heap within 256 kB of what it was after 300. TestGoneForAWhile: one that comes back soon is the same.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,6 +43,7 @@
 	kept        = 64   // samples of an op type at one build
 	keptFlags   = 512  // flags are rare
 	keptUnit    = 16   // and of a unit
+	mostForward = 3    // builds whose answered keys are kept: the newest, one that is not announced yet, one to spare
 	sweepEvery  = 50 * Second / 1000
 	roomPart    = 0.15        // of a service target: what a unit may owe
 	quiet       = 0.6         // of a service target: how long a unit may stay silent
@@ -65,7 +66,7 @@
 
 // New makes the module of one instance, started now with its seed and settings.
 func New(host Host, now Tick, seed uint64, settings map[string]any) *Relay {
-	r := &Relay{host: host, set: settings, now: now, born: now, forward: map[uint64]uint16{}}
+	r := &Relay{host: host, set: settings, now: now, born: now, forward: map[uint16]*filter{}}
 	r.prepare(seed)
 	r.figure()
 	if r.word("discovery") == "subscribe" {
@@ -188,9 +189,11 @@
 	if n := len(cmd.deliveries); n > 0 && cmd.deliveries[n-1].To == u {
 		return false
 	}
-	if by := r.forward[cmd.Key]; u.Build < by && (by > r.news.Build ||
-		by == r.news.Build && (r.news.Phase == OnTrial || r.news.Phase == Released)) {
-		return false // a forward-only key; its build may not be announced yet
+	for by, keys := range r.forward { // a forward-only key; its build may not be announced yet
+		if u.Build < by && keys.has(cmd.Key) && (by > r.news.Build ||
+			by == r.news.Build && (r.news.Phase == OnTrial || r.news.Phase == Released)) {
+			return false
+		}
 	}
 	if r.doubted(u) && !r.alone {
 		// A trickle of commands that can be tried again tells whether it has come back.
@@ -312,7 +315,7 @@
 		r.rescues = min(r.rescues+rescuePart, float64(r.near))
 		r.took[cmd.OpType] = keep(r.took[cmd.OpType], took, kept)
 		if cmd.Key != 0 && d.build >= r.news.Build && r.flag("rollout.forward_only") {
-			r.forward[cmd.Key] = max(r.forward[cmd.Key], d.build)
+			r.forwarded(cmd.Key, d.build)
 		}
 	}
 	r.score(d)
@@ -706,7 +709,7 @@
 		if !r.told || old.Build != news.Build || old.Stage != news.Stage || old.Phase != news.Phase {
 			r.since = now - news.Age
 			r.judged.inStage, r.judged.stage = 0, news.Stage
-			maps.DeleteFunc(r.forward, func(_ uint64, by uint16) bool { return by < news.Build })
+			maps.DeleteFunc(r.forward, func(by uint16, _ *filter) bool { return by < news.Build })
 		}
 		if bound, _ := r.capOf(news.Build); r.told && old.Phase != Released && news.Cap < bound {
 			// The lower cap holds at once over the old count; the rule counts anew later.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -292,16 +292,44 @@
 	b.news(2, 0, OnTrial, 0.2)
 	old := b.unit(1, 1, 0)
 	b.unit(2, 2, 0)
-	b.forward[9] = 2
+	b.forwarded(9, 2)
 	check(t, "to the earlier build", b.mayTake(&Command{Key: 9}, old), false)
 	check(t, "another key", b.mayTake(&Command{Key: 8}, old), true)
-	b.forward[7] = 3 // answered by a build that no news has named yet
+	b.forwarded(7, 3) // answered by a build that no news has named yet
 	check(t, "by an unannounced build", b.mayTake(&Command{Key: 7}, old), false)
 	b.news(2, 0, RollingBack, 0)
 	check(t, "when it goes back", b.mayTake(&Command{Key: 9}, old), true)
 	check(t, "when another goes back", b.mayTake(&Command{Key: 7}, old), false)
 }
 
+// TestForwardOnlyKeysStayInTheirSpace: many keys and builds take no more than their filters, lose no key, and turn
+// few others away.
+func TestForwardOnlyKeysStayInTheirSpace(t *testing.T) {
+	b := newBench(map[string]any{"rollout.forward_only": true})
+	key := func(i int) uint64 { return uint64(i+1) * 0x9e3779b97f4a7c15 }
+	const many = 100_000
+	for build := uint16(2); build < 40; build++ {
+		for i := range many / 38 {
+			b.forwarded(key(i), build)
+		}
+	}
+	check(t, "builds kept", len(b.forward), mostForward)
+	f := &filter{}
+	for i := range many {
+		f.add(key(i))
+	}
+	wrong := 0
+	for i := range many {
+		check(t, "a key that was added", f.has(key(i)), true)
+		if f.has(key(many + i)) {
+			wrong++
+		}
+	}
+	if wrong > many/50 {
+		t.Errorf("%d of %d other keys are taken for added ones", wrong, many)
+	}
+}
+
 // outcomes gives the judged build n outcomes of which each k-th fails.
 func (b *bench) outcomes(build uint16, n, k int) {
 	u := &Unit{Door: 99, Listing: Listing{State: Ready, Build: build}}
--- a/choice/help.go
+++ b/choice/help.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 )
@@ -65,6 +66,31 @@
 	bad [][]float64
 }
 
+// filter is a set of keys in a fixed space. It may take a key for one that was added, one in a hundred with 100,000
+// of them and two in five with a million; never the other way.
+type filter [1 << 15]uint64
+
+func (f *filter) has(key uint64) bool {
+	return key != 0 && f[key>>6%uint64(len(f))]>>(key%64)&1 == 1 && f[key>>38%uint64(len(f))]>>(key>>32%64)&1 == 1
+}
+
+func (f *filter) add(key uint64) {
+	f[key>>6%uint64(len(f))] |= 1 << (key % 64)
+	f[key>>38%uint64(len(f))] |= 1 << (key >> 32 % 64)
+}
+
+// forwarded keeps that a build has answered a key. Of more builds at once than can be on their way at any
+// time, the earliest is let go: its keys are those of a build that two others have followed.
+func (r *Relay) forwarded(key uint64, build uint16) {
+	if r.forward[build] == nil {
+		r.forward[build] = &filter{}
+		if len(r.forward) > mostForward {
+			delete(r.forward, slices.Min(slices.Collect(maps.Keys(r.forward))))
+		}
+	}
+	r.forward[build].add(key)
+}
+
 func newSample(opTypes int) *sample {
 	return &sample{bad: make([][]float64, opTypes+4)}
 }
--- a/choice/host.go
+++ b/choice/host.go
@@ -192,9 +192,9 @@
 	lanes   []lane // what the exposure rule counts: all, or one an op type
 	news    StageNews
 	told    bool
-	since   Tick              // when the newest stage started
-	recount Tick              // when a lower cap binds and the count starts anew
-	forward map[uint64]uint16 // which build has answered a key
+	since   Tick               // when the newest stage started
+	recount Tick               // when a lower cap binds and the count starts anew
+	forward map[uint16]*filter // the keys that a build has answered, of few builds
 
 	base     *sample // of the earlier build
 	compared Tick    // when it last gave an outcome
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -88,8 +88,10 @@
 	loads  []string
 	asks   bool // the list comes only when it is asked for
 	units  map[string]*unit
-	byDoor []*unit // in the order in which they were first listed
-	stage  int     // of the newest build
+	byDoor []*unit // in the order in which they were first listed; nil where one was forgotten
+	gone   []*unit // those not listed any more, the longest first
+	keep   choice.Tick
+	stage  int // of the newest build
 	open   map[*choice.Command]*Command
 	out    map[*choice.Delivery]*Delivery
 	lag    lag
@@ -105,6 +107,8 @@
 type unit struct {
 	choice.Unit
 	name, dial string
+	out        int         // deliveries
+	went       choice.Tick // when it was last listed as gone
 }
 
 // New makes the module and hands it its settings. The hands may be used from then on.
@@ -127,6 +131,10 @@
 		g.loads = append(g.loads, name)
 	}
 	g.asks = settings["discovery"] == "subscribe"
+	for _, name := range []string{"rules.cold", "rules.tip_after", "rollout.exposure_window"} {
+		s, _ := settings[name].(float64)
+		g.keep += choice.Tick(s * float64(choice.Second))
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.module = choice.New(g, g.now(), seed, settings)
@@ -279,6 +287,7 @@
 	defer g.mu.Unlock()
 	c := g.open[d.module.Cmd]
 	delete(g.out, d.module)
+	g.byDoor[d.module.To.Door].out--
 	g.Counts.Endings[ending]++
 	acked = ending == choice.Acked
 	if acked && c != nil {
@@ -311,7 +320,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, u := range g.byDoor {
-		if u.State == choice.Ready {
+		if u != nil && u.State == choice.Ready {
 			all = append(all, u.place())
 		}
 	}
@@ -367,6 +376,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), at)
 	out := &Delivery{Unit: u.place(), Context: ctx, StopAt: at, module: d, cancel: cancel, sent: time.Now()}
 	g.out[d] = out
+	u.out++
 	g.Counts.Delivered++
 	c.steps <- Step{Delivery: out}
 }
--- a/internal/gate/news.go
+++ b/internal/gate/news.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"silvercove/choice"
@@ -40,8 +41,7 @@
 		u := g.units[h.Name]
 		if u == nil {
 			u = &unit{name: h.Name}
-			u.Door = uint32(len(g.byDoor))
-			g.units[h.Name], g.byDoor = u, append(g.byDoor, u)
+			g.admit(u)
 			g.hands.Log(fmt.Sprintf("unit %d is %s", u.Door, h.Name))
 		}
 		named[h.Name] = true
@@ -50,19 +50,48 @@
 			Cell: h.Cell, State: states[h.State], Nominal: h.Nominal, Start: choice.Tick(h.BornMs * 10), Build: h.Build})
 	}
 	for _, u := range g.byDoor { // one that a whole list leaves out has gone
-		if whole && !named[u.name] && u.State != choice.Gone {
+		if u != nil && whole && !named[u.name] && u.State != choice.Gone {
 			is := u.Listing
 			is.State = choice.Gone
 			g.listed(now, u, is)
 		}
 	}
+	g.forget(now)
 	g.module.Listed(now, true)
 }
 
+// admit gives a unit its door, one that is free if there is one.
+func (g *Gate) admit(u *unit) {
+	g.units[u.name] = u
+	at := slices.Index(g.byDoor, nil)
+	if at < 0 {
+		at, g.byDoor = len(g.byDoor), append(g.byDoor, nil)
+	}
+	u.Door, g.byDoor[at] = uint32(at), u
+}
+
+// forget drops units that have gone, the longest first: as long as there are more of them than listed ones, and
+// nothing about them counts any more. Until then one may come back as it was, or a late flag may name it.
+func (g *Gate) forget(now choice.Tick) {
+	for len(g.gone) > len(g.units)-len(g.gone) {
+		u := g.gone[0]
+		if u.out > 0 || now-u.went <= g.keep {
+			return
+		}
+		g.gone, g.byDoor[u.Door] = g.gone[1:], nil
+		delete(g.units, u.name)
+	}
+}
+
 func (g *Gate) listed(now choice.Tick, u *unit, is choice.Listing) {
 	if is.State != choice.Ready || is.Start != u.Start || is.Build != u.Build {
 		g.hands.CloseIdle(u.name) // its connections are of no more use
 	}
+	if was, goes := slices.Index(g.gone, u), is.State == choice.Gone; goes && was < 0 {
+		u.went, g.gone = now, append(g.gone, u)
+	} else if !goes && was >= 0 {
+		g.gone = slices.Delete(g.gone, was, was+1)
+	}
 	g.module.UnitListed(now, &u.Unit, is)
 }
 
--- /dev/null
+++ b/internal/gate/soak_test.go
@@ -0,0 +1,91 @@
+package gate
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"silvercove/internal/link"
+	"silvercove/internal/pgwire"
+)
+
+// TestMonth plays a month of rollouts in short: each replaces all units by others under new names and addresses, with
+// commands in between. What the gate and its module keep of units stays within twice the fleet, and the heap flat.
+func TestMonth(t *testing.T) {
+	const fleet, rollouts = 12, 3000
+	nothing := func(string) {}
+	op := map[string]any{"name": "read", "repeats": "redeliverable", "service_target": 1.0, "command_timeout": 4.0, "importance": 1.0}
+	g := New(1, map[string]any{"relays": 1.0, "limits.max_deliveries": 2.0, "op_types": []map[string]any{op},
+		"rollout.forward_only": true}, Hands{Log: nothing, CloseIdle: nothing, Watch: func(bool) {}, Vote: func(Vote) {}})
+	hosts := func(build int, state string) (all []Host) {
+		for i := range fleet {
+			name := fmt.Sprintf("u-%d-%d", build, i)
+			all = append(all, Host{Name: name, Dial: name, State: state, Build: uint16(build)})
+		}
+		return all
+	}
+	heap := func() int64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return int64(m.HeapAlloc)
+	}
+	var before int64
+	for build := 1; build <= rollouts; build++ {
+		g.Told(Stage{Build: uint16(build), State: "live", Cap: 1})
+		g.List(false, hosts(build, "up"))
+		c, _ := g.Take(Ask{OpType: "read", Key: fmt.Sprint("key ", build), Came: time.Now(), Wait: time.Minute})
+		d := g.Pick(c).Delivery
+		if d == nil {
+			t.Fatalf("build %d: no delivery", build)
+		}
+		g.List(false, hosts(build-1, "removed"))
+		if !g.Report(d, pgwire.Complete, link.End{}, nil) {
+			t.Fatalf("build %d: not acked", build)
+		}
+		if c := g.Snapshot(); c.Units > 3*fleet || c.Open != 0 || c.Out != 0 || len(g.byDoor) > 3*fleet {
+			t.Fatalf("build %d: %d units and %d doors are kept, %d commands, %d deliveries", build, c.Units, len(g.byDoor), c.Open, c.Out)
+		}
+		if build == rollouts/10 {
+			before = heap()
+		}
+	}
+	if grown := heap() - before; grown > 256<<10 {
+		t.Errorf("the heap has grown by %d kB", grown>>10)
+	}
+}
+
+// TestGoneForAWhile: a unit that comes back soon is the one that it was; while its delivery is out it is not forgotten.
+func TestGoneForAWhile(t *testing.T) {
+	nothing := func(string) {}
+	op := map[string]any{"name": "read", "repeats": "redeliverable", "service_target": 1.0, "command_timeout": 4.0, "importance": 1.0}
+	g := New(1, map[string]any{"relays": 1.0, "limits.max_deliveries": 2.0, "op_types": []map[string]any{op}, "rules.cold": 0.2},
+		Hands{Log: nothing, CloseIdle: nothing, Watch: func(bool) {}, Vote: func(Vote) {}})
+	one := func(name, state string) []Host { return []Host{{Name: name, Dial: name, State: state, Build: 1}} }
+	g.Told(Stage{Build: 1, State: "live", Cap: 1})
+	g.List(true, one("first", "up"))
+	was := g.units["first"]
+	c, _ := g.Take(Ask{OpType: "read", Came: time.Now(), Wait: time.Minute})
+	d := g.Pick(c).Delivery
+	g.List(true, nil)
+	g.List(true, one("first", "up"))
+	if g.units["first"] != was {
+		t.Error("it came back as another")
+	}
+	g.List(true, nil)
+	time.Sleep(250 * time.Millisecond) // past what counts of it
+	g.List(true, nil)
+	if g.units["first"] == nil {
+		t.Fatal("forgotten with a delivery out")
+	}
+	g.Report(d, pgwire.Complete, link.End{}, nil)
+	g.List(true, nil)
+	if g.units["first"] != nil || len(g.gone) != 0 {
+		t.Error("it is kept for ever")
+	}
+	g.List(true, one("second", "up"))
+	if len(g.byDoor) != 1 || g.units["second"].Door != 0 {
+		t.Error("a free door is not used again")
+	}
+}
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -208,10 +208,17 @@
 		return nil
 	}
 	c := list[len(list)-1]
-	p.idle[name] = list[:len(list)-1]
+	p.left(name, list[:len(list)-1])
 	return c
 }
 
+// left sets what is idle at a unit; of one that has nothing, nothing is kept.
+func (p *Pools) left(name string, list []*conn) {
+	if p.idle[name] = list; len(list) == 0 {
+		delete(p.idle, name)
+	}
+}
+
 func (p *Pools) close(c *conn) {
 	c.Close()
 	<-p.slots
@@ -231,7 +238,7 @@
 		return false
 	}
 	c := p.idle[oldest][0]
-	p.idle[oldest] = p.idle[oldest][1:]
+	p.left(oldest, p.idle[oldest][1:])
 	p.mu.Unlock()
 	p.close(c)
 	return true
@@ -315,7 +322,8 @@
 		for n < len(list) && now.Sub(list[n].since) >= p.rest {
 			n++
 		}
-		old, p.idle[name] = append(old, list[:n]...), list[n:]
+		old = append(old, list[:n]...)
+		p.left(name, list[n:])
 	}
 	p.mu.Unlock()
 	for _, c := range old {
