--- a/choice/choice.go
+++ b/choice/choice.go
@@ -187,11 +187,7 @@
 	u.inFlight++
 	cmd.deliveries = append(cmd.deliveries, d)
 	r.out = append(r.out, d)
-	stop := cmd.NotAfter
-	if late, _ := r.opTypes[cmd.OpType]["late_importance"].(float64); late == 0 {
-		stop = min(stop, cmd.end+2*sweepEvery) // a later answer is worth nothing, and its work stands in others' way
-	}
-	r.host.Deliver(d, stop)
+	r.host.Deliver(d, cmd.NotAfter)
 	return true
 }
 
