Open fewer unit connections before clients come where many relays would open them at once

Line at fault: Warm's share, from one relay's descriptors alone. Now all relays together open no more at a unit than one might alone. TestWarmInALargeFleet counts the sum: of 40 places and 5 units, 4 at each with 1 or 3 relays as before, 2 with 10, none with 300. A count of relays that is absent or zero is taken for one.

--- a/cmd/silvercove/main.go
+++ b/cmd/silvercove/main.go
@@ -96,7 +96,8 @@
 	if r.memory != nil {
 		group.Go(func() error { return r.memory.run(ctx, r) })
 	}
-	r.pools.Warm(r.gate.Ready())
+	relays, _ := t.settings["relays"].(float64)
+	r.pools.Warm(r.gate.Ready(), int(min(max(relays, 1), math.MaxInt32)))
 	listener, err := net.Listen("tcp", t.listen) // now it is ready to serve
 	if err != nil {
 		return err
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -256,12 +256,14 @@
 }
 
 // Warm opens connections to units that have just been listed, part of them to each, so that the first
-// commands after a start need not wait for them. It waits at most as long as one takes.
-func (p *Pools) Warm(to []gate.Unit) {
+// commands after a start need not wait for them. All relays together open no more at a unit than one of
+// them might alone: many that start at once would spend the units' work on connections that few commands
+// use. It waits at most as long as one takes.
+func (p *Pools) Warm(to []gate.Unit, relays int) {
 	ctx, cancel := context.WithTimeout(context.Background(), p.connect)
 	defer cancel()
 	var all sync.WaitGroup
-	for i := range cap(p.slots) / 2 / max(1, len(to)) * len(to) {
+	for i := range min(cap(p.slots)/2/max(1, len(to)), cap(p.slots)/2/max(1, relays)) * len(to) {
 		all.Go(func() {
 			p.slots <- struct{}{}
 			c, _ := p.dial(ctx, to[i%len(to)])
--- a/internal/units/units_test.go
+++ b/internal/units/units_test.go
@@ -198,7 +198,7 @@
 	if open, idle := h.InUse(); open != 0 || idle != 0 {
 		t.Errorf("%d open, %d idle", open, idle)
 	}
-	h.Warm(h.gate.Ready())
+	h.Warm(h.gate.Ready(), 1)
 	if open, idle := h.InUse(); open != 2 || idle != 2 {
 		t.Errorf("%d open, %d idle after warming half of four", open, idle)
 	}
@@ -222,6 +222,28 @@
 	}
 }
 
+// TestWarmInALargeFleet: what all relays open at a unit before clients come stays within what one might open alone.
+func TestWarmInALargeFleet(t *testing.T) {
+	const most, units = 40, 5
+	for _, c := range []struct {
+		relays int
+		each   int64 // at each unit
+	}{{1, 4}, {3, 4}, {10, 2}, {300, 0}, {0, 4}} {
+		t.Run(fmt.Sprint(c.relays), func(t *testing.T) {
+			var dials []string
+			for range units {
+				_, dial := unit(t, false, 0)
+				dials = append(dials, dial)
+			}
+			h := newHouse(t, most, time.Minute, dials...)
+			h.Warm(h.gate.Ready(), c.relays)
+			if n := h.Opened.Load(); n != c.each*units || int64(c.relays)*c.each > most/2 {
+				t.Errorf("%d connections are opened", n)
+			}
+		})
+	}
+}
+
 func TestProbe(t *testing.T) {
 	_, dial := unit(t, false, 0)
 	h := newHouse(t, 4, time.Minute, dial)
