--- a/choice/choice.go
+++ b/choice/choice.go
@@ -626,7 +626,7 @@
 	}
 	if r.asking && now >= r.askAgain { // asks for the list's changes, less often each time
 		r.host.Watch(true)
-		r.askGap = min(2*r.askGap, r.span("rules.ask_every")/2)
+		r.askGap = min(2*r.askGap, max(Second, r.span("rules.ask_every")/2))
 		r.askAgain = now + r.askGap/2 + Tick(r.chance(int(r.askGap)))
 	}
 	for _, cmd := range r.held {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -302,6 +302,26 @@
 	check(t, "when another goes back", b.mayTake(&Command{Key: 7}, old), false)
 }
 
+// TestAskingForTheList: a relay that is turned away asks again less and less often, also where the settings do not say
+// how often they want it.
+func TestAskingForTheList(t *testing.T) {
+	for _, c := range []struct {
+		every       any
+		least, most int // calls in 20 s
+	}{{20.0, 2, 9}, {nil, 10, 30}, {"soon", 10, 30}, {-5.0, 10, 30}} {
+		b := newBench(map[string]any{"discovery": "subscribe", "rules.ask_every": c.every})
+		b.Listed(b.now, false)
+		b.host.watch = 0
+		for range 20 {
+			b.pass(Second)
+			b.Listed(b.now, false)
+		}
+		if n := b.host.watch; n < c.least || n > c.most {
+			t.Errorf("asked %d times with %v", n, c.every)
+		}
+	}
+}
+
 // TestLittleTimeLeft: a command that has just come is tried while half of the deliveries would be in time; one that had
 // to wait is given up when nine in ten would not be.
 func TestLittleTimeLeft(t *testing.T) {
