--- a/choice/choice.go
+++ b/choice/choice.go
@@ -875,7 +875,6 @@
 	for op, took := range r.took {
 		part := ticks(r.opTypes[op]["service_target"]) / 4
 		r.typical[op], r.middle[op] = part, part
-		took = took[max(0, len(took)-max(keptUnit, len(r.acks))):] // many relays: 64 are half a minute
 		if n := len(took); n >= keptUnit {
 			sorted := slices.Sorted(slices.Values(took))
 			r.typical[op], r.middle[op] = min(sorted[n*9/10], 3*part), sorted[n/2]
