--- a/internal/gate/news.go
+++ b/internal/gate/news.go
@@ -75,7 +75,7 @@
 func (g *Gate) forget(now choice.Tick) {
 	for len(g.gone) > len(g.units)-len(g.gone) {
 		u := g.gone[0]
-		if u.out > 0 || now-u.went <= g.keep {
+		if u.out > 0 || now-u.went < g.keep {
 			return
 		}
 		g.gone, g.byDoor[u.Door] = g.gone[1:], nil
