--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -35,6 +35,8 @@
 	{Name: "longest", Values: span("span"), Default: "120s", Text: "When a rollout without a verdict is given up."},
 	{Name: "evidence_wait", Values: span("span"), Default: "0s", Text: "How long a wave waits where evidence on an op type lacks."},
 	{Name: "report_within", Values: span("span"), Default: "0s", Text: "Within which flags of wrong answers are held to come."},
+	{Name: "counts", Values: []conf.Value{{Name: "period", Kind: conf.Span}, {Name: "share", Kind: conf.Share}},
+		Text: "The platform counts a share of all relays' outcomes and tells each period's; without it, it tells none."},
 	{Name: "rollouts", Values: whole("number", 1, 1e6), Default: "40", Text: "Of each package under each condition."},
 	{Name: "false_alarms", Values: share("most"), Default: "5%", Text: "Declared: good packages taken back."},
 	{Name: "misses", Values: share("most"), Default: "5%", Text: "Declared: bad packages released."},
@@ -44,6 +46,7 @@
 	{In: "package", Name: "errors", More: true, Values: []conf.Value{{Name: "op_type", Kind: conf.Name},
 		{Name: "share", Kind: conf.Share}}, Text: "Failures beyond the base, of an op type or of all."},
 	{In: "package", Name: "wrong", Values: share("answers"), Text: "Wrong answers."},
+	{In: "package", Name: "silent", Values: share("commands"), Text: "Commands that are never answered."},
 	{In: "package", Name: "slow", Values: figure("times"), Text: "Times the usual working time."},
 	{In: "package", Name: "after", Values: span("span"), Text: "Shows only so long after a unit's start."},
 	{In: "package", Name: "right_after", Values: []conf.Value{{Name: "package", Kind: conf.Name}},
@@ -146,6 +149,9 @@
 			Rate: num(all, "rate"), Bake: num(all, "bake"), Base: num(all, "base"), Found: num(all, "found"),
 			Watch: num(all, "watch"), Longest: num(all, "longest"),
 			EvidenceWait: num(all, "evidence_wait"), ReportWithin: num(all, "report_within")}}
+	if c, ok := all["counts"].([]any); ok {
+		e.Rollout.CountEvery, e.Rollout.CountShare = c[0].(float64), c[1].(float64)
+	}
 	for _, v := range all["op_type"].([]any) {
 		op := v.([]any)
 		e.Rollout.Ops = append(e.Rollout.Ops, Op{op[0].(string), op[1].(float64), op[2].(string)})
@@ -155,7 +161,7 @@
 	}
 	for _, v := range all["package"].([]any) {
 		m := v.(map[string]any)
-		p := Package{Name: m["name"].(string), Wrong: num(m, "wrong"), Slow: num(m, "slow"), After: num(m, "after"),
+		p := Package{Name: m["name"].(string), Wrong: num(m, "wrong"), Silent: num(m, "silent"), Slow: num(m, "slow"), After: num(m, "after"),
 			Errors: map[string]float64{}}
 		p.Bad, _ = m["bad"].(bool)
 		p.Prior, _ = m["right_after"].(string)
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -96,6 +96,44 @@
 	}
 }
 
+// TestThinFleet: 200 relays see next to nothing of a package each. One whose units stop answering is taken back by what the
+// platform counts, and not without; good ones never are.
+func TestThinFleet(t *testing.T) {
+	e, err := ReadExperiment("../../deploy/thin.conf", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.Rollouts, e.Conditions = 2, e.Conditions[:1]
+	if e.Rollout.CountEvery != 2 || e.Rollout.CountShare != 0.1 {
+		t.Fatalf("counts every %v s of %v", e.Rollout.CountEvery, e.Rollout.CountShare)
+	}
+	back := func() map[string]int {
+		n := map[string]int{}
+		for _, r := range run(t, e) {
+			if r.Broken > 0 {
+				t.Errorf("%s, seed %d: exposure broken %d times", r.Package, r.Seed, r.Broken)
+			}
+			if r.Back {
+				n[r.Package]++
+			}
+		}
+		return n
+	}
+	with := back()
+	e.Rollout.CountEvery = 0
+	without := back()
+	for _, p := range []string{"same", "within_margin"} {
+		if with[p] > 0 {
+			t.Errorf("%s was taken back %d times", p, with[p])
+		}
+	}
+	for _, p := range []string{"silent", "silent_after"} {
+		if with[p] < 2 || without[p] > 0 {
+			t.Errorf("%s was taken back %d times of 2 with the counts, %d without", p, with[p], without[p])
+		}
+	}
+}
+
 // TestWithoutWaiting: by the design's clock a package that is bad for a rare op type is released: the gap.
 func TestWithoutWaiting(t *testing.T) {
 	e := experiment(t, 8, "rare_op_type", "calm")
--- a/internal/lab/model.go
+++ b/internal/lab/model.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -28,6 +29,7 @@
 	Errors map[string]float64 // share of failures by op type beyond the base; "all" for each
 	Wrong  float64            // share of answers that are wrong
 	Slow   float64            // times the usual time
+	Silent float64            // share of commands that are never answered
 	After  float64            // seconds from a unit's start until it shows
 	Prior  string             // a package that is offered before it, and taken back or released first; "" for none
 }
@@ -60,6 +62,8 @@
 	Longest              float64 // seconds after which it is given up
 	EvidenceWait         float64 // seconds that a wave waits for evidence on op types that lack it
 	ReportWithin         float64 // seconds within which flags are held to come
+	CountEvery           float64 // seconds of a period in which the platform counts outcomes; 0: it counts none
+	CountShare           float64 // share of the outcomes that it counts
 	Package              Package
 	Before               []Package // that are offered first, one after the other
 	Condition            Condition
@@ -94,6 +98,7 @@
 	cold     = 4.0 // seconds until it is warm
 	slots    = 8
 	callTime = 0.02 // seconds that a unit works on a command, in the middle
+	countLag = 1.0  // seconds until the platform tells what it counted
 )
 
 // event is one thing that happens.
@@ -129,6 +134,7 @@
 	doors  uint64
 	result Result
 
+	counts  map[uint16][]tally // of the present period, by build and op type
 	builds  map[uint16]Package
 	build   uint16 // the newest, 0 before any was offered
 	base    uint16 // what the others run
@@ -142,6 +148,12 @@
 	done    bool
 }
 
+// tally is what the platform counted: outcomes, the failed ones of them, and the time that the others took.
+type tally struct {
+	many, failed int
+	took         choice.Tick
+}
+
 // unit is one machine.
 type unit struct {
 	door  int
@@ -200,6 +212,10 @@
 	if r.Condition.Restart > 0 {
 		m.after(warm+r.Condition.Restart, func() { m.restart(0) })
 	}
+	if r.CountEvery > 0 {
+		m.counts = map[uint16][]tally{}
+		m.after(r.CountEvery, m.countOut)
+	}
 	end := m.now + ticksOf(warm+r.Longest)
 	for len(m.queue) > 0 && !m.done {
 		e := heap.Pop(&m.queue).(event)
@@ -238,7 +254,7 @@
 		"rollout.exposure_by": "all", "rollout.caps": caps, "rollout.stage_shares": parts, "rollout.guarded_stages": 0.0,
 		"rollout.control": "single", "rollout.vote_life": 4.0, "rollout.vote_wait": 1.0,
 		"rollout.votes_per_s": 2 * float64(m.Relays), "rollout.found_share": m.Found,
-		"rollout.evidence_wait": m.EvidenceWait, "rollout.report_within": m.ReportWithin, "op_types": ops}
+		"rollout.metrics_period": m.CountEvery, "rollout.evidence_wait": m.EvidenceWait, "rollout.report_within": m.ReportWithin, "op_types": ops}
 }
 
 // start starts a relay's process: nothing is known from before.
@@ -455,6 +471,9 @@
 			ending = choice.Errored
 		}
 	}
+	if shows && p.Silent > 0 && n.rand.Float64() < p.Silent {
+		end = stopAt + 1
+	}
 	if end > stopAt {
 		end, ending = stopAt, choice.TimedOut
 	}
@@ -467,6 +486,7 @@
 			ending = choice.Reset
 		}
 		delete(n.out, d)
+		n.counted(build, d.Cmd.OpType, ending, n.now-sent)
 		if ending == choice.Acked && wrong {
 			n.flag(d.To, d.Cmd.OpType, build)
 		}
@@ -474,6 +494,46 @@
 	})
 }
 
+// counted has the platform count an outcome, if it is one of those that it samples.
+func (m *model) counted(build uint16, op int, ending choice.Ending, took choice.Tick) {
+	if m.CountEvery == 0 || m.rand.Float64() >= m.CountShare {
+		return
+	}
+	if m.counts[build] == nil {
+		m.counts[build] = make([]tally, len(m.Ops))
+	}
+	t := &m.counts[build][op]
+	if t.many++; ending == choice.Acked {
+		t.took += took
+	} else {
+		t.failed++
+	}
+}
+
+// countOut ends a period: a while later each relay is told of it, the earlier build first.
+func (m *model) countOut() {
+	counts, at := m.counts, m.now
+	m.counts = map[uint16][]tally{}
+	m.after(m.CountEvery, m.countOut)
+	builds := slices.Sorted(maps.Keys(counts))
+	for _, n := range m.nodes {
+		life, lag := n.life, countLag
+		if n.blind {
+			lag = 5
+		}
+		m.after(lag, func() {
+			for _, build := range builds {
+				for op, t := range counts[build] {
+					if n.life == life && t.many > 0 {
+						mean := t.took / choice.Tick(max(1, t.many-t.failed))
+						n.relay.Tally(m.now, build, op, t.many, t.failed, mean, m.now-at)
+					}
+				}
+			}
+		})
+	}
+}
+
 // flag has a client find a wrong answer later, and maybe report it to any relay.
 func (n *node) flag(to *choice.Unit, op int, build uint16) {
 	if n.rand.Float64() >= n.Found || n.rand.Float64() < n.Condition.Lost {
