--- /dev/null
+++ b/internal/lab/days.go
@@ -0,0 +1,347 @@
+package lab
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"silvercove/choice"
+)
+
+// Day is the hard part of one whole-fleet day: what is done to the units and the relays, beginning at second 0.
+type Day struct {
+	Name string
+	plan func(f *fleetDay)
+}
+
+// Days are those that the fleet is held to. Figures are the lab's own.
+var Days = []Day{
+	{"calm", func(f *fleetDay) {}},
+	{"roll: a tenth at a time ends in order while units pause", func(f *fleetDay) {
+		f.pauses(3)
+		for i, n := range f.relays {
+			f.in(float64(5+2*(i%10)), func() { f.leave(n) })
+		}
+	}},
+	{"herd: seven in ten are killed at once while units pause", func(f *fleetDay) {
+		f.pauses(4)
+		for i, n := range f.relays {
+			if i%10 < 7 {
+				f.in(10, func() { f.kill(n) })
+			}
+		}
+	}},
+	{"zone: a third of the units is lost for 5 s and returns cold", func(f *fleetDay) {
+		for i := 0; i < dayUnits; i += 3 {
+			f.in(8, func() { f.restart(i, 5) })
+		}
+	}},
+	{"split: a fifth falls silent, lists are late, connections break", func(f *fleetDay) {
+		f.late = 3
+		f.in(8, func() {
+			f.resets = 0.05
+			for i := 0; i < dayUnits; i += 5 {
+				f.units[i].back = f.now + ticksOf(6)
+			}
+			for i := 1; i < dayUnits; i += 10 {
+				f.units[i].State = choice.Draining
+				f.list(i)
+			}
+		})
+	}},
+	{"join: a third pauses, units answer errors", func(f *fleetDay) {
+		f.pauses(3)
+		f.errs = 0.03
+	}},
+}
+
+// DayResult is how a day went: what was broken by all relays together, and how often.
+type DayResult struct {
+	Taken, Served int
+	Broken        map[string]int
+}
+
+// Share is the part served of what was taken by relays that were not killed with it.
+func (r DayResult) Share() float64 { return float64(r.Served) / float64(max(1, r.Taken)) }
+
+const (
+	dayRelays = 60
+	dayUnits  = 30
+	dayRate   = 3.0 // commands a second at one relay
+	dayTakes  = 10  // that a warm unit takes in a second; six come on average
+	daySpan   = 30.0
+)
+
+// fleetDay is the units, the relays and what is due to happen.
+type fleetDay struct {
+	rand   *rand.Rand
+	now    choice.Tick
+	due    events
+	seq    int
+	set    map[string]any
+	units  []*dayUnit
+	relays []*dayRelay
+	result DayResult
+	resets float64 // share of the deliveries whose connection breaks after the send
+	errs   float64 // that a unit answers with an error
+	late   float64 // seconds by which the list lags
+}
+
+// dayUnit takes longer the more it has in work, and is silent up to a moment.
+type dayUnit struct {
+	choice.Listing
+	busy  int
+	back  choice.Tick
+	colds []choice.Tick // deliveries of late, while it is cold
+}
+
+// dayRelay is one relay with its host.
+type dayRelay struct {
+	*choice.Relay
+	f       *fleetDay
+	known   []*choice.Unit
+	open    map[*choice.Command][]*daySend
+	dead    bool
+	leaving bool
+	told    []choice.Tick // when it was told that a unit drains
+}
+
+// daySend is one delivery.
+type daySend struct {
+	at    choice.Tick
+	to    *dayUnit
+	of    *choice.Delivery
+	ended bool
+	ran   bool // it may have run
+}
+
+// Run plays a day. The same day and seed always go the same way.
+func (d Day) Run(seed uint64) DayResult {
+	ops := []Op{{"read", 0.4, "redeliverable"}, {"edit", 0.3, "deduplicated"}, {"sell", 0.3, "at_most_once"}}
+	m := model{Rollout: Rollout{Relays: dayRelays, Ops: ops, Waves: []Wave{{1, 1}}}}
+	f := &fleetDay{rand: rand.New(rand.NewPCG(seed, 7)), now: ticksOf(100), set: m.settings()}
+	f.result.Broken = map[string]int{}
+	for i := range dayUnits {
+		f.units = append(f.units, &dayUnit{Listing: choice.Listing{Zone: i % 3, State: choice.Ready, Build: earlier}})
+	}
+	for range dayRelays {
+		f.join()
+	}
+	d.plan(f)
+	end := f.now + ticksOf(daySpan)
+	f.run(end)
+	for _, n := range f.relays {
+		n.leaving = true
+	}
+	f.run(end + ticksOf(3)) // what was taken is answered by then
+	return f.result
+}
+
+func (f *fleetDay) run(until choice.Tick) {
+	for len(f.due) > 0 && f.due[0].at <= until {
+		e := heap.Pop(&f.due).(event)
+		f.now = e.at
+		e.do()
+	}
+}
+
+func (f *fleetDay) at(t choice.Tick, do func()) {
+	f.seq++
+	heap.Push(&f.due, event{max(t, f.now), f.seq, do})
+}
+
+func (f *fleetDay) in(seconds float64, do func()) { f.at(f.now+ticksOf(seconds), do) }
+
+// pauses has one of so many units pause for a second, again and again.
+func (f *fleetDay) pauses(of int) {
+	for i := 0; i < dayUnits; i += of {
+		for s := range 6 {
+			f.in(float64(5+3*s), func() { f.units[i].back = f.now + ticksOf(1) })
+		}
+	}
+}
+
+// join starts a relay, and its clients.
+func (f *fleetDay) join() {
+	n := &dayRelay{f: f, open: map[*choice.Command][]*daySend{}, told: make([]choice.Tick, len(f.units))}
+	n.Relay = choice.New(n, f.now, f.rand.Uint64(), f.set)
+	f.relays = append(f.relays, n)
+	for i, u := range f.units {
+		n.known = append(n.known, &choice.Unit{Door: uint32(i)})
+		n.UnitListed(f.now, n.known[i], u.Listing)
+	}
+	n.Listed(f.now, true)
+	n.Stage(f.now, choice.StageNews{Build: earlier, Phase: choice.Released, Cap: 1, Ending: choice.Acked})
+	f.in(f.rand.ExpFloat64()/dayRate, n.command)
+}
+
+// command has a client ask, and the next one come later.
+func (n *dayRelay) command() {
+	f := n.f
+	if n.dead || n.leaving {
+		return
+	}
+	f.in(f.rand.ExpFloat64()/dayRate, n.command)
+	c := &choice.Command{OpType: f.rand.IntN(3), NotAfter: f.now + ticksOf(2)}
+	n.open[c] = nil
+	f.result.Taken++
+	f.in(2.05, func() {
+		if _, open := n.open[c]; open && !n.dead {
+			f.broken("a command without an answer by its time")
+		}
+	})
+	n.Command(f.now, c)
+}
+
+func (f *fleetDay) broken(what string) { f.result.Broken[what]++ }
+
+const atMostOnce = 2 // its op type
+
+// Deliver checks what the rules say of a send, and has the unit work.
+func (n *dayRelay) Deliver(d *choice.Delivery, stopAt choice.Tick) {
+	f, u := n.f, n.f.units[d.To.Door]
+	for _, before := range n.open[d.Cmd] {
+		if before.ran && d.Cmd.OpType == atMostOnce || !before.ended {
+			f.broken("a second delivery of what may run twice")
+		}
+	}
+	if told := n.told[d.To.Door]; told > 0 && f.now > told+ticksOf(1) {
+		f.broken("a delivery at a drained unit")
+	}
+	if u.Start > 0 && f.now < u.Start+ticksOf(cold) {
+		u.colds = slices.DeleteFunc(append(u.colds, f.now), func(t choice.Tick) bool { return t < f.now-ticksOf(1) })
+		warmth := 0.5 + 0.5*float64(f.now-u.Start)/(cold*second)
+		if float64(len(u.colds)) > 2*warmth*dayTakes+1 {
+			f.broken("a delivery too many at a cold unit")
+		}
+	}
+	u.busy++
+	took := ticksOf((0.5 + f.rand.ExpFloat64()) * 0.03 * float64(4+u.busy) / 4)
+	ending := choice.Acked
+	switch p := f.rand.Float64(); {
+	case f.now+took > stopAt || f.now < u.back:
+		took, ending = stopAt-f.now, choice.TimedOut
+	case p < f.resets:
+		ending = choice.Reset
+	case p < f.resets+f.errs:
+		ending = choice.Errored
+	}
+	s := &daySend{at: f.now, to: u, of: d, ran: true}
+	n.open[d.Cmd] = append(n.open[d.Cmd], s)
+	f.at(f.now+took, func() { n.ended(s, ending) })
+}
+
+func (n *dayRelay) ended(s *daySend, ending choice.Ending) {
+	if s.ended || n.dead {
+		return
+	}
+	s.ended = true
+	s.to.busy--
+	_, open := n.open[s.of.Cmd]
+	if ending == choice.Acked && open {
+		n.f.result.Served++
+		delete(n.open, s.of.Cmd)
+	}
+	n.Outcome(n.f.now, s.of, ending, n.f.now-s.at, ending == choice.Acked || !open, nil)
+}
+
+// Nack promises that trying again is harmless.
+func (n *dayRelay) Nack(c *choice.Command, _ choice.Tick) {
+	if len(n.open[c]) > 0 && c.OpType == atMostOnce {
+		n.f.broken("a nack of what may have run")
+	}
+	n.Fail(c)
+}
+
+// Fail ends a command.
+func (n *dayRelay) Fail(c *choice.Command) {
+	if _, open := n.open[c]; !open {
+		n.f.broken("a second answer")
+	}
+	delete(n.open, c)
+}
+
+// Cancel ends a delivery, which may have run.
+func (n *dayRelay) Cancel(d *choice.Delivery) {
+	for _, s := range n.open[d.Cmd] {
+		if s.of == d {
+			n.f.in(0, func() { n.ended(s, choice.Cancelled) })
+		}
+	}
+}
+
+// WakeAt sets an alarm.
+func (n *dayRelay) WakeAt(at choice.Tick, tag uint32) {
+	n.f.at(at, func() {
+		if !n.dead {
+			n.Alarm(n.f.now, tag)
+		}
+	})
+}
+
+// Vote: on these days nothing speaks against the build that all run.
+func (n *dayRelay) Vote(_ uint16, _ int, v choice.Verdict) {
+	n.f.broken(fmt.Sprintf("a vote %d on a good build", v))
+}
+
+// What a day has no use for.
+func (n *dayRelay) Probe(*choice.Unit)     {}
+func (n *dayRelay) CloseIdle(*choice.Unit) {}
+func (n *dayRelay) Tell(uint32, []byte)    {}
+func (n *dayRelay) Log(string)             {}
+func (n *dayRelay) Watch(bool)             {}
+func (n *dayRelay) Fetch()                 {}
+
+// list tells all relays of a unit, each a little later than the list lags.
+func (f *fleetDay) list(i int) {
+	is := f.units[i].Listing
+	for _, n := range f.relays {
+		f.in(f.late+0.2*f.rand.Float64(), func() {
+			if n.dead {
+				return
+			}
+			if n.told[i] = 0; is.State != choice.Ready {
+				n.told[i] = f.now
+			}
+			n.UnitListed(f.now, n.known[i], is)
+			n.Listed(f.now, true)
+		})
+	}
+}
+
+// restart starts a unit anew after so many seconds, cold, and silent until then.
+func (f *fleetDay) restart(i int, after float64) {
+	u := f.units[i]
+	u.back = f.now + ticksOf(after)
+	f.in(after, func() {
+		u.Start, u.busy, u.colds = f.now, 0, nil
+		f.list(i)
+	})
+}
+
+// kill ends a relay at once; what it had taken is lost with it, and another starts in its place.
+func (f *fleetDay) kill(n *dayRelay) {
+	n.dead = true
+	f.result.Taken -= len(n.open)
+	for _, sends := range n.open {
+		for _, s := range sends {
+			if !s.ended {
+				s.to.busy--
+			}
+		}
+	}
+	f.in(1, f.join)
+}
+
+// leave has a relay take nothing new; by the time that its commands have, it has answered all, and another starts.
+func (f *fleetDay) leave(n *dayRelay) {
+	n.leaving = true
+	f.in(2.5, func() {
+		if len(n.open) > 0 {
+			f.broken("a command left by a relay that ends in order")
+		}
+		n.dead = true
+		f.join()
+	})
+}
