--- a/choice/choice.go
+++ b/choice/choice.go
@@ -438,7 +438,7 @@
 
 // Tally takes what the platform counted of all relays' outcomes in a period, bad ones spread evenly: a stream of its
 // own, one and the same for the fleet, against its counts of the earlier build in the same periods, raised for the
-// load of units on trial; past those for as long as what is counted may have been sent earlier. Guards against builds whose units stop answering where each relay sees next to nothing of
+// load of units on trial. Guards against builds whose units stop answering where each relay sees next to nothing of
 // a unit, so that silence speaks for units everywhere; hurts where the trial's units alone are cut off.
 func (r *Relay) Tally(now Tick, build uint16, opType, many, failed int, took, age Tick) {
 	r.now = now
@@ -450,7 +450,7 @@
 		case build < j.build:
 			r.base.add(last, x, keptFlags)
 			r.counted = now
-		case build == j.build && r.counted > 0 && now-r.counted <= 2*r.span("rollout.metrics_period")+r.longest():
+		case build == j.build && r.counted > 0 && now-r.counted <= 2*r.span("rollout.metrics_period"):
 			r.see(1+last, x, r.share(last)+burden+margin)
 		}
 	}
--- a/choice/help.go
+++ b/choice/help.go
@@ -125,14 +125,6 @@
 	return r.share(which)
 }
 
-// longest is the longest command timeout: what is counted now may have been sent so long ago.
-func (r *Relay) longest() (most Tick) {
-	for _, op := range r.opTypes {
-		most = max(most, ticks(op["command_timeout"]))
-	}
-	return most
-}
-
 // stages tells how many a build has, and part the units of one as a share of the fleet's places.
 func (r *Relay) stages() int {
 	l, _ := r.set["rollout.stage_shares"].([]any)
