--- /dev/null
+++ b/deploy/sites/main.go
@@ -0,0 +1,161 @@
+// Command sites makes variants of a site file of the bench: a short file of changes says what differs.
+//
+//	go run ./deploy/sites -from SITE.toml deploy/sites/harbour-radio.toml ...
+//
+// Each variant goes to a directory of its own, with copies of the files that the bench reads beside a site. Made
+// files are not kept in the repository.
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/google/renameio/v2"
+	"github.com/pelletier/go-toml/v2"
+)
+
+func main() {
+	from := flag.String("from", "", "the site file from which the variants are made")
+	to := flag.String("to", "deploy/sites/made", "the directory below which each variant gets one of its own")
+	flag.Parse()
+	if *from == "" || flag.NArg() == 0 {
+		fmt.Fprintln(os.Stderr, "usage: sites -from SITE.toml [-to DIR] CHANGES.toml...")
+		os.Exit(2)
+	}
+	for _, changes := range flag.Args() {
+		made, err := makeVariant(*from, changes, *to)
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "%s: %v\n", changes, err)
+			os.Exit(1)
+		}
+		fmt.Println(made)
+	}
+}
+
+// makeVariant writes the variant of the site that the changes describe, and returns the path of its site file. It
+// reads and checks everything before it writes anything.
+func makeVariant(from, changesPath, to string) (string, error) {
+	var site map[string]any
+	if err := readTOML(from, &site, false); err != nil {
+		return "", err
+	}
+	var changes variant
+	if err := readTOML(changesPath, &changes, true); err != nil {
+		return "", err
+	}
+	gone, err := changes.apply(site)
+	if err != nil {
+		return "", err
+	}
+	name := strings.TrimSuffix(filepath.Base(changesPath), ".toml")
+	text, err := toml.Marshal(site)
+	if err != nil {
+		return "", fmt.Errorf("writing the site: %w", err)
+	}
+	files := map[string][]byte{name + ".toml": text}
+	beside := []string{"real.json", "unlock.txt"}
+	if wire, named := site["wire"].(string); named {
+		beside = append(beside, wire)
+	}
+	for _, file := range beside {
+		if file != filepath.Base(file) {
+			return "", fmt.Errorf("%q is not the name of a file beside the site", file)
+		}
+		text, err := os.ReadFile(filepath.Join(filepath.Dir(from), file))
+		if err != nil {
+			return "", err
+		}
+		if err := checkDialect(file, text, gone); err != nil {
+			return "", err
+		}
+		files[file] = text
+	}
+	return filepath.Join(to, name, name+".toml"), writeFiles(filepath.Join(to, name), files)
+}
+
+func writeFiles(dir string, files map[string][]byte) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	for file, text := range files {
+		if err := renameio.WriteFile(filepath.Join(dir, file), text, 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readTOML(path string, into any, strict bool) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	decoder := toml.NewDecoder(bytes.NewReader(text))
+	if strict {
+		decoder.DisallowUnknownFields()
+	}
+	if err := decoder.Decode(into); err != nil {
+		// The library's long forms show the line; its short ones do not.
+		var unknown *toml.StrictMissingError
+		if errors.As(err, &unknown) {
+			return fmt.Errorf("%s: unknown entries:\n%s", path, unknown.String())
+		}
+		var malformed *toml.DecodeError
+		if errors.As(err, &malformed) {
+			return fmt.Errorf("%s: malformed:\n%s", path, malformed.String())
+		}
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
+}
+
+// checkDialect refuses names that the variant no longer has, where a JSON file beside the site speaks of them: the
+// file is copied as it is, and a word in it cannot be told from a name.
+func checkDialect(file string, text []byte, gone []element) error {
+	if filepath.Ext(file) != ".json" {
+		return nil
+	}
+	var dialect any
+	if err := json.Unmarshal(text, &dialect); err != nil {
+		return fmt.Errorf("%s: %w", file, err)
+	}
+	return mentions(dialect, file, func(place, word string) error {
+		for _, e := range gone {
+			if e.name == word {
+				return fmt.Errorf("%s %q is renamed or dropped, but stands at %s", e.kind, e.name, place)
+			}
+		}
+		return nil
+	})
+}
+
+// mentions calls see with each key and each string below node, and with its place.
+func mentions(node any, place string, see func(place, word string) error) error {
+	switch node := node.(type) {
+	case string:
+		return see(place, node)
+	case []any:
+		for i, value := range node {
+			if err := mentions(value, fmt.Sprintf("%s[%d]", place, i), see); err != nil {
+				return err
+			}
+		}
+	case map[string]any:
+		for _, key := range sortedKeys(node) {
+			below := place + "." + key
+			if err := see(below, key); err != nil {
+				return err
+			}
+			if err := mentions(node[key], below, see); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
