--- a/deploy/sites/main.go
+++ b/deploy/sites/main.go
@@ -2,8 +2,8 @@
 //
 //	go run ./deploy/sites -from SITE.toml deploy/sites/harbour-radio.toml ...
 //
-// Each variant goes to a directory of its own, with copies of the files that the bench reads beside a site. Made
-// files are not kept in the repository.
+// Each variant goes to a directory of its own, with copies of the files that the bench reads beside a site.
+// Made files are not kept in the repository.
 package main
 
 import (
@@ -38,8 +38,8 @@
 	}
 }
 
-// makeVariant writes the variant of the site that the changes describe, and returns the path of its site file. It
-// reads and checks everything before it writes anything.
+// makeVariant writes the variant of the site that the changes describe, and returns the path of its site
+// file. It reads and checks everything before it writes anything.
 func makeVariant(from, changesPath, to string) (string, error) {
 	var site map[string]any
 	if err := readTOML(from, &site, false); err != nil {
@@ -115,8 +115,8 @@
 	return nil
 }
 
-// checkDialect refuses names that the variant no longer has, where a JSON file beside the site speaks of them: the
-// file is copied as it is, and a word in it cannot be told from a name.
+// checkDialect refuses names that the variant no longer has, where a JSON file beside the site speaks of
+// them: the file is copied as it is, and a word in it cannot be told from a name.
 func checkDialect(file string, text []byte, gone []element) error {
 	if filepath.Ext(file) != ".json" {
 		return nil
--- a/deploy/sites/variant.go
+++ b/deploy/sites/variant.go
@@ -8,11 +8,12 @@
 	"strings"
 )
 
-// A variant is a file of changes. A path joins keys by dots; in a list of tables the element's name takes the place
-// of a key, as in "class.upload.aim_ms". All paths use the names of the site from which the variant is made.
+// A variant is a file of changes. A path joins keys by dots; in a list of tables the element's name takes the
+// place of a key, as in "class.upload.aim_ms". All paths use the names of the site from which the variant is
+// made.
 type variant struct {
-	// Set gives what is there another value of the same type; a range may take the place of a number and a list that
-	// of one choice.
+	// Set gives what is there another value of the same type; a range may take the place of a number and a
+	// list that of one choice.
 	Set map[string]any `toml:"set"`
 	// Add holds keys, or named elements of lists, that are not there yet.
 	Add map[string]any `toml:"add"`
@@ -38,7 +39,8 @@
 			return nil, fmt.Errorf("set %q: there is no %q", path, s.last)
 		}
 		if typeOf(was) != typeOf(v.Set[path]) || typeOf(was) == "table" {
-			return nil, fmt.Errorf("set %q: a %s cannot take the place of a %s", path, typeOf(v.Set[path]), typeOf(was))
+			return nil, fmt.Errorf("set %q: a %s cannot take the place of a %s", path, typeOf(v.Set[path]),
+				typeOf(was))
 		}
 		if s.inList() || s.last == "name" && len(s.path) > 1 {
 			return nil, fmt.Errorf("set %q: names are changed by rename", path)
@@ -167,9 +169,9 @@
 	return s, nil
 }
 
-// rename gives the elements their new names, and follows the references to them: strings at a key that is called
-// like the list, or its plural. A name that is gone and stands anywhere else is an error, as what it means there is
-// not known; an element's own name is no reference, whatever it is.
+// rename gives the elements their new names, and follows the references to them: strings at a key that is
+// called like the list, or its plural. A name that is gone and stands anywhere else is an error, as what it
+// means there is not known; an element's own name is no reference, whatever it is.
 func rename(node map[string]any, place string, names map[element]string, gone []element) error {
 	for _, key := range sortedKeys(node) {
 		below := strings.TrimPrefix(place+"."+key, ".")
@@ -181,7 +183,8 @@
 			}
 			for _, e := range gone {
 				if e.name == name {
-					return "", fmt.Errorf("%s %q is renamed or dropped, but stands at %s", e.kind, e.name, below)
+					return "", fmt.Errorf("%s %q is renamed or dropped, but stands at %s", e.kind, e.name,
+						below)
 				}
 			}
 			return name, nil
