--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -181,6 +181,23 @@
 	return out
 }
 
+// number is the place of a name in a list of the settings. One that the list lacks is none of those there, least of all
+// the first: it gets a number below 0 by its own letters.
+func (g *Gate) number(list, name string) int {
+	if at, ok := g.names[list][name]; ok {
+		return at
+	}
+	return -1 - int(keyOf(name)>>1)
+}
+
+// zone is the number of a unit's zone. Of a unit without one nobody knows what others drop the same repeats.
+func (g *Gate) zone(h Host) int {
+	if _, ok := g.names["zones"][h.Zone]; h.Zone == "" && !ok {
+		return g.number("zones", "\x00"+h.Name)
+	}
+	return g.number("zones", h.Zone)
+}
+
 // now is the module's time: Unix time as the clock had it at the start, going on evenly.
 func (g *Gate) now() choice.Tick { return g.tick(time.Now()) }
 
@@ -257,7 +274,7 @@
 		return nil, false
 	}
 	return &Command{op: op, key: a.Key, from: a.Customer, steps: make(chan Step, 4), module: choice.Command{OpType: op,
-		Customer: g.names["customers"][a.Customer], Key: keyOf(a.Key), NotAfter: g.tick(a.Came.Add(a.Wait)),
+		Customer: g.number("customers", a.Customer), Key: keyOf(a.Key), NotAfter: g.tick(a.Came.Add(a.Wait)),
 		Work: choice.Tick((a.Work + tenth - 1) / tenth), Repeated: a.Repeated, Write: a.Write}}, true
 }
 
--- /dev/null
+++ b/internal/gate/names_test.go
@@ -0,0 +1,132 @@
+package gate
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"reflect"
+	"testing"
+	"time"
+
+	"silvercove/internal/link"
+	"silvercove/internal/pgwire"
+)
+
+// hostile are names that are words of the settings, paths in them, or hard to print.
+var hostile = []string{"window", "worth", "deadline", "read_like", "per_lane", "a.b", "limits.max_deliveries", " ", "\x00",
+	"写真", fmt.Sprintf("%09999d", 0)}
+
+// site are settings with one op type, sent again within a zone alone.
+func site(opType, figure string, zones ...any) map[string]any {
+	return map[string]any{"relays": 1.0, "limits.max_deliveries": 3.0, "zones": zones, "load.figures": []any{figure},
+		"customers": []map[string]any{{"name": opType}}, "kinds": []any{figure}, "rollout.exposure_window": 1.0,
+		"op_types": []map[string]any{{"name": opType, "repeats": "deduplicated", "repeat_group": "zone", "repeat_window": 5.0,
+			"service_target": 1.0, "command_timeout": 2.0, "importance": 1.0}}}
+}
+
+func siteGate(t *testing.T, set map[string]any) *Gate {
+	t.Helper()
+	nothing := func(string) {}
+	g := New(1, set, Hands{Log: nothing, CloseIdle: nothing, Watch: func(bool) {}, Vote: func(Vote) {}})
+	g.Told(Stage{Build: 1, State: "live", Cap: 1})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- g.Tick(ctx) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	return g
+}
+
+// TestOpTypesByAnyName: each is found by its own name, no other.
+func TestOpTypesByAnyName(t *testing.T) {
+	for _, name := range hostile {
+		g := siteGate(t, site(name, "queue", name))
+		if c, ok := g.Take(Ask{OpType: name, Customer: name, Came: time.Now(), Wait: time.Second}); !ok || c.module.Customer != 0 {
+			t.Errorf("%.20q is not taken as it is named", name)
+		}
+		for _, other := range append([]string{"", "crop"}, hostile...) {
+			if _, ok := g.Take(Ask{OpType: other}); ok && other != name {
+				t.Errorf("%.20q is taken for %.20q", other, name)
+			}
+		}
+	}
+}
+
+// TestRepeatsStayInTheirZone: a zone that the settings lack is not the first of theirs, and no name is no zone. A command
+// that may have run at a unit is sent again only where its repeats are dropped.
+func TestRepeatsStayInTheirZone(t *testing.T) {
+	for _, c := range []struct {
+		name, first, second string
+		again               bool
+	}{
+		{"one of the settings", "east", "east", true}, {"two of the settings", "east", "west", false},
+		{"one that the settings lack", "east", "north", false}, {"the same that they lack", "north", "north", true},
+		{"two that they lack", "north", "south", false}, {"none", "", "", false}, {"the first and none", "east", "", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := siteGate(t, site("crop", "queue", "east", "west"))
+			zone := func(name, of string) Host {
+				return Host{Name: name, Dial: "127.0.0.1:9", Zone: of, State: "up", Nominal: 1, Build: 1}
+			}
+			g.List(true, []Host{zone("s-1", c.first)})
+			cmd, ok := g.Take(Ask{OpType: "crop", Came: time.Now(), Wait: 2 * time.Second})
+			if !ok {
+				t.Fatal("not taken")
+			}
+			step := g.Pick(cmd)
+			if step.Delivery == nil || step.Delivery.Name != "s-1" {
+				t.Fatalf("not delivered: %+v", step)
+			}
+			g.List(false, []Host{zone("s-2", c.second)})
+			g.Report(step.Delivery, "", link.End{How: link.Broke, Sent: true}, nil)
+			step = g.Pick(cmd)
+			if got := step.Delivery != nil; got != c.again || got && step.Delivery.Name != "s-2" {
+				t.Errorf("sent again: %v, wanted %v", got, c.again)
+			}
+		})
+	}
+}
+
+// TestTwoGatesShareNothing: two customers' relays in one process, at work by turns.
+func TestTwoGatesShareNothing(t *testing.T) {
+	sets := []map[string]any{site("window", "queue", "east"), site("worth", "util", "west", "east")}
+	before := []map[string]any{maps.Clone(sets[0]), maps.Clone(sets[1])}
+	a, b := siteGate(t, sets[0]), siteGate(t, sets[1])
+	a.List(true, []Host{{Name: "s-1", Dial: "127.0.0.1:1", Zone: "east", State: "up", Nominal: 1, Build: 1}})
+	b.List(true, []Host{{Name: "s-1", Dial: "127.0.0.1:2", Zone: "east", State: "up", Nominal: 1, Build: 1}})
+	if _, ok := a.Take(Ask{OpType: "worth"}); ok {
+		t.Error("a knows an op type of b")
+	}
+	for i := range 20 {
+		for _, g := range []*Gate{a, b} {
+			name, state := "window", "XX000"
+			if g == b {
+				name, state = "worth", pgwire.Complete
+			}
+			cmd, ok := g.Take(Ask{OpType: name, Came: time.Now(), Wait: time.Second})
+			if !ok {
+				t.Fatalf("%s is not taken", name)
+			}
+			if step := g.Pick(cmd); step.Delivery != nil {
+				g.Report(step.Delivery, state, link.End{}, nil)
+			} else if g == b {
+				t.Fatalf("b does not deliver command %d: what failed at a is held against it", i)
+			}
+		}
+	}
+	if a.Counts.Ops[0].Acked != 0 || a.Counts.Delivered < 2 || a.Counts.Ops[0].Name != "window" || b.Counts.Ops[0].Acked != 20 || b.Counts.Ops[0].Name != "worth" {
+		t.Errorf("counts %+v and %+v", a.Counts.Ops, b.Counts.Ops)
+	}
+	if len(b.Ready()) != 1 || b.Ready()[0].Dial != "127.0.0.1:2" || a.units["s-1"].Zone != 0 || b.units["s-1"].Zone != 1 {
+		t.Errorf("units %v and %v", a.Ready(), b.Ready())
+	}
+	if !reflect.DeepEqual(a.Figures(), []string{"queue"}) || !reflect.DeepEqual(b.Figures(), []string{"util"}) {
+		t.Errorf("figures %v and %v", a.Figures(), b.Figures())
+	}
+	a.List(true, nil)
+	if len(a.Ready()) != 0 || len(b.Ready()) != 1 {
+		t.Error("a list of a is one of b")
+	}
+	if !reflect.DeepEqual(sets, before) {
+		t.Error("settings were changed")
+	}
+}
--- a/internal/gate/news.go
+++ b/internal/gate/news.go
@@ -46,7 +46,7 @@
 		}
 		named[h.Name] = true
 		u.dial = h.Dial
-		g.listed(now, u, choice.Listing{Zone: g.names["zones"][h.Zone], Kind: g.names["kinds"][h.Kind],
+		g.listed(now, u, choice.Listing{Zone: g.zone(h), Kind: g.number("kinds", h.Kind),
 			Cell: h.Cell, State: states[h.State], Nominal: h.Nominal, Start: choice.Tick(h.BornMs * 10), Build: h.Build})
 	}
 	for _, u := range g.byDoor { // one that a whole list leaves out has gone
--- a/internal/info/info_test.go
+++ b/internal/info/info_test.go
@@ -34,9 +34,16 @@
 
 func FuzzRead(f *testing.F) {
 	f.Add([]byte(`{"grades":[{"name":"g"}],"limits":{"x":[{"y":null}]}}`))
+	f.Add([]byte(`{"grades":[{"name":"g","on_time":1}],"limits":{"x":[{"y":null}],"send_cap":1e300}}`))
+	f.Add([]byte(ordinary))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		if set, err := Read(text); err == nil && len(set["op_types"].([]map[string]any)) == 0 {
+		set, err := Read(text)
+		if err != nil {
+			return
+		}
+		if len(set["op_types"].([]map[string]any)) == 0 {
 			t.Error("settings without op types are taken")
 		}
+		finite(t, set)
 	})
 }
--- a/internal/relay/told.go
+++ b/internal/relay/told.go
@@ -18,6 +18,13 @@
 	"silvercove/internal/platform"
 )
 
+// The most of each limit that makes sense: more is a slip of the pen, and would leave the whole numbers below.
+const (
+	mostCores    = 4096
+	mostMemoryMB = 1 << 30
+	mostSockets  = 1 << 20
+)
+
 // Told is what a relay is told at its start.
 type Told struct {
 	signals                           chan os.Signal // that have come since the program began; nil: they are heard from Run on
@@ -129,11 +136,15 @@
 	if t.seed, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
 		return fmt.Errorf("seed: %w", err)
 	}
-	t.cores, t.memory, t.sockets = c.Limits.Cores, c.Limits.MemoryMB<<20, c.Limits.Sockets
-	if t.cores <= 0 || t.memory <= 0 || t.sockets < leastSockets {
-		return fmt.Errorf("limits: cores %v, memory_mb %d, sockets %d (%d at the least)",
-			t.cores, c.Limits.MemoryMB, t.sockets, leastSockets)
+	switch l := c.Limits; {
+	case l.Cores <= 0 || l.Cores > mostCores:
+		return fmt.Errorf("limits.cores: %v, above 0 and up to %d are allowed", l.Cores, mostCores)
+	case l.MemoryMB <= 0 || l.MemoryMB > mostMemoryMB:
+		return fmt.Errorf("limits.memory_mb: %d, 1 to %d are allowed", l.MemoryMB, mostMemoryMB)
+	case l.Sockets < leastSockets || l.Sockets > mostSockets:
+		return fmt.Errorf("limits.sockets: %d, %d to %d are allowed", l.Sockets, leastSockets, mostSockets)
 	}
+	t.cores, t.memory, t.sockets = c.Limits.Cores, c.Limits.MemoryMB<<20, c.Limits.Sockets
 	if c.Discovery != "" { // the file is newer than the environment once it was replaced
 		t.discovery = c.Discovery
 	}
