--- a/internal/gate/names_test.go
+++ b/internal/gate/names_test.go
@@ -113,8 +113,11 @@
 			}
 		}
 	}
-	if a.Counts.Ops[0].Acked != 0 || a.Counts.Delivered < 2 || a.Counts.Ops[0].Name != "window" || b.Counts.Ops[0].Acked != 20 || b.Counts.Ops[0].Name != "worth" {
-		t.Errorf("counts %+v and %+v", a.Counts.Ops, b.Counts.Ops)
+	if of := a.Counts.Ops[0]; of.Name != "window" || of.Acked != 0 || a.Counts.Delivered < 2 {
+		t.Errorf("counts of a %+v, %d delivered", of, a.Counts.Delivered)
+	}
+	if of := b.Counts.Ops[0]; of.Name != "worth" || of.Acked != 20 {
+		t.Errorf("counts of b %+v", of)
 	}
 	if len(b.Ready()) != 1 || b.Ready()[0].Dial != "127.0.0.1:2" || a.units["s-1"].Zone != 0 || b.units["s-1"].Zone != 1 {
 		t.Errorf("units %v and %v", a.Ready(), b.Ready())
--- a/internal/info/info.go
+++ b/internal/info/info.go
@@ -1,13 +1,14 @@
 // Package info turns the settings object that a relay is given into a plain map in the
 // project's words. The adapter and the real relay share it.
 //
-// What a name means follows from its place in the document alone (table.go): a class, customer, zone, machine kind or
-// figure keeps its name whatever that is, and the same word elsewhere stays as it is. Members of an object get its
-// name before theirs. What the table lacks passes untouched under its own path; there a name that is no plain word, or
-// that would make the path one of ours, stands in quotes, so that it never is taken for another setting.
+// What a name means follows from its place in the document alone (table.go): a class, customer, zone,
+// machine kind or figure keeps its name whatever that is, and the same word elsewhere stays as it is.
+// Members of an object get its name before theirs. What the table lacks passes untouched under its own
+// path; there a name that is no plain word, or that would make the path one of ours, stands in quotes, so
+// that it never is taken for another setting.
 //
-// docs/relay.md says under "Settings" what is made of values that are missing, null, zero, negative, huge or
-// fractional. An error names the setting as the document does.
+// docs/relay.md says under "Settings" what is made of values that are missing, null, zero, negative, huge
+// or fractional. An error names the setting as the document does.
 package info
 
 import (
@@ -82,8 +83,8 @@
 	return err
 }
 
-// translate takes the members of one object. theirs and ours are the paths that stand before a member's name, and
-// taken those of all settings of ours.
+// translate takes the members of one object. theirs and ours are the paths that stand before a member's
+// name, and taken those of all settings of ours.
 func (all members) translate(theirs, ours string, taken map[string]bool, from, to map[string]any) error {
 	for name, value := range from {
 		is, known := all[name]
--- a/internal/info/rename_test.go
+++ b/internal/info/rename_test.go
@@ -15,9 +15,9 @@
 )
 
 // hostile are names that are words of the document, paths of ours, or hard to print.
-var hostile = []string{"window", "worth", "deadline", "read_like", "per_lane", "idempotency_key", "non_idempotent", "a.b",
-	"at_most_once", "op_type", "redeliverable", "all", "zone", "cell", "name", "grades", "limits.max_deliveries", ".", "..",
-	`"`, `\`, " ", "\x00", "null", "0", "Ökosystem", "写真", "\u202e", "name ", strings.Repeat("long.", 4000)}
+var hostile = []string{"window", "worth", "deadline", "read_like", "per_lane", "idempotency_key",
+	"non_idempotent", "a.b", "at_most_once", "op_type", "redeliverable", "all", "zone", "cell", "name", "grades",
+	"limits.max_deliveries", ".", "..", `"`, `\`, " ", "\x00", "null", "0", "Ökosystem", "写真", "\u202e", "name ", strings.Repeat("long.", 4000)}
 
 // site is a made-up deployment without names.
 type site struct {
@@ -29,24 +29,35 @@
 
 func drawSite(t *rapid.T) site {
 	pick := func(label string, of ...any) any { return rapid.SampledFrom(of).Draw(t, label) }
-	s := site{classes: rapid.IntRange(1, 4).Draw(t, "classes"), zones: rapid.IntRange(1, 3).Draw(t, "zones"),
-		customers: rapid.IntRange(0, 3).Draw(t, "customers"), kinds: rapid.IntRange(1, 2).Draw(t, "kinds"),
-		seed: rapid.Uint64().Draw(t, "seed")}
+	s := site{classes: rapid.IntRange(1, 4).Draw(t, "classes"),
+		zones:     rapid.IntRange(1, 3).Draw(t, "zones"),
+		customers: rapid.IntRange(0, 3).Draw(t, "customers"),
+		kinds:     rapid.IntRange(1, 2).Draw(t, "kinds"),
+		seed:      rapid.Uint64().Draw(t, "seed")}
 	for range s.classes {
-		s.ops = append(s.ops, map[string]any{"on_time": pick("on_time", 0.1, 0.3, 1.0), "deadline": pick("deadline", 1.0, 2.0),
+		s.ops = append(s.ops, map[string]any{"on_time": pick("on_time", 0.1, 0.3, 1.0),
+			"deadline":    pick("deadline", 1.0, 2.0),
 			"semantics":   pick("semantics", "read_like", "idempotency_key", "non_idempotent", "twice_at_least"),
 			"dedup_scope": pick("dedup_scope", "all", "zone", "cell", "rack"), "window": pick("window", 0.0, 0.2, 5.0),
 			"worth": pick("worth", 0.5, 1.0, 4.0)})
 	}
-	s.figures = map[string]any{"balancers": pick("balancers", 1, 3), "discovery": pick("discovery", "automatic", "subscribe"),
-		"limits": map[string]any{"send_cap": pick("send_cap", 1, 2, 4), "may_cancel": pick("may_cancel", true, false),
-			"retry_after": pick("retry_after", true, false), "max_retry_after": 1.0, "connect_timeout": 0.2, "idle_close": 5.0},
-		"rules": map[string]any{"ask_every": 4.0, "cold": pick("cold", 0.0, 2.0), "cold_from": 0.4, "drain_grace": 0.5,
+	s.figures = map[string]any{"balancers": pick("balancers", 1, 3),
+		"discovery": pick("discovery", "automatic", "subscribe"),
+		"limits": map[string]any{"send_cap": pick("send_cap", 1, 2, 4),
+			"may_cancel":  pick("may_cancel", true, false),
+			"retry_after": pick("retry_after", true, false), "max_retry_after": 1.0,
+			"connect_timeout": 0.2, "idle_close": 5.0},
+		"rules": map[string]any{"ask_every": 4.0, "cold": pick("cold", 0.0, 2.0), "cold_from": 0.4,
+			"drain_grace":   0.5,
 			"fall_multiple": 2.0, "tip_after": 1.0},
-		"family_info": map[string]any{"control": pick("control", "single", "clocked"), "counted_by": pick("counted_by", "all", "per_lane"),
-			"counted_over": 1.0, "uncounted": pick("uncounted", 0.0, 2.0), "most_shares": []any{0.3, 1.0}, "shares": []any{0.2, 1.0},
-			"guarded_stages": pick("guarded_stages", 0, 1), "forward_only": pick("forward_only", true, false),
-			"found_share": pick("found_share", 0.0, 0.5), "metrics_period": 1.0, "vote_wait": 1.0, "votes_per_s": 100.0, "ballot_ttl": 2.0},
+		"family_info": map[string]any{"control": pick("control", "single", "clocked"),
+			"counted_by":   pick("counted_by", "all", "per_lane"),
+			"counted_over": 1.0, "uncounted": pick("uncounted", 0.0, 2.0),
+			"most_shares": []any{0.3, 1.0}, "shares": []any{0.2, 1.0},
+			"guarded_stages": pick("guarded_stages", 0, 1),
+			"forward_only":   pick("forward_only", true, false),
+			"found_share":    pick("found_share", 0.0, 0.5), "metrics_period": 1.0,
+			"vote_wait": 1.0, "votes_per_s": 100.0, "ballot_ttl": 2.0},
 	}
 	return s
 }
@@ -61,7 +72,8 @@
 		}
 		return all
 	}
-	return named{number("class-", s.classes), number("zone-", s.zones), number("customer-", s.customers), number("kind-", s.kinds)}
+	return named{number("class-", s.classes), number("zone-", s.zones), number("customer-", s.customers),
+		number("kind-", s.kinds)}
 }
 
 func (s site) oddly(t *rapid.T) named {
@@ -110,7 +122,12 @@
 		t.Fatal(err)
 	}
 	finite(t, set)
-	ops, zones := map[string]int{}, map[string]int{}
+	ops, zones, customers := map[string]int{}, map[string]int{}, map[string]int{}
+	if all, ok := set["customers"].([]map[string]any); ok {
+		for i, customer := range all {
+			customers[customer["name"].(string)] = i
+		}
+	}
 	for i, op := range set["op_types"].([]map[string]any) {
 		ops[op["name"].(string)] = i
 	}
@@ -128,8 +145,8 @@
 	w.module = choice.New(w, w.now, s.seed, set)
 	units := make([]*choice.Unit, 6)
 	list := func(i int, build uint16, started choice.Tick) {
-		w.module.UnitListed(w.now, units[i], choice.Listing{Zone: number(zones, n.zones[i%s.zones]), Cell: i / 2, Kind: i % s.kinds,
-			State: choice.Ready, Nominal: 1, Start: started, Build: build})
+		w.module.UnitListed(w.now, units[i], choice.Listing{Zone: number(zones, n.zones[i%s.zones]), Cell: i / 2,
+			Kind: i % s.kinds, State: choice.Ready, Nominal: 1, Start: started, Build: build})
 	}
 	for i := range units {
 		units[i] = &choice.Unit{Door: uint32(i)}
@@ -144,6 +161,9 @@
 		key := w.chance.Uint64N(20)
 		w.at(at, func() {
 			c := &choice.Command{Door: uint64(i), OpType: number(ops, op), Key: key, NotAfter: w.now + choice.Second}
+			if s.customers > 0 {
+				c.Customer = number(customers, n.customers[i%s.customers])
+			}
 			w.module.Command(w.now, c)
 		})
 	}
@@ -285,7 +305,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := drawSite(t)
 		plain, odd := s.plainly(), s.oddly(t)
-		differ(t, "other names", s.play(t, s.document(t, plain, nil), plain), s.play(t, s.document(t, odd, nil), odd))
+		differ(t, "other names", s.play(t, s.document(t, plain, nil), plain),
+			s.play(t, s.document(t, odd, nil), odd))
 	})
 }
 
@@ -298,9 +319,10 @@
 	slices.Sort(paths)
 	rapid.Check(t, func(t *rapid.T) {
 		s := drawSite(t)
-		names := rapid.OneOf(rapid.SampledFrom(hostile), rapid.SampledFrom(paths), rapid.String().Filter(utf8.ValidString))
-		values := rapid.SampledFrom([]any{nil, 0, -1, 1e300, "subscribe", "per_lane", true, []any{}, []any{map[string]any{}},
-			map[string]any{"max_deliveries": 1, "caps": []any{}}})
+		names := rapid.OneOf(rapid.SampledFrom(hostile), rapid.SampledFrom(paths),
+			rapid.String().Filter(utf8.ValidString))
+		values := rapid.SampledFrom([]any{nil, 0, -1, 1e300, "subscribe", "per_lane", true, []any{},
+			[]any{map[string]any{}}, map[string]any{"max_deliveries": 1, "caps": []any{}}})
 		more := map[string]any{}
 		for name, value := range rapid.MapOfN(names, values, 1, 8).Draw(t, "unknown") {
 			if _, known := document[name]; !known {
@@ -308,6 +330,7 @@
 			}
 		}
 		n := s.plainly()
-		differ(t, "unknown settings", s.play(t, s.document(t, n, nil), n), s.play(t, s.document(t, n, more), n))
+		differ(t, "unknown settings", s.play(t, s.document(t, n, nil), n),
+			s.play(t, s.document(t, n, more), n))
 	})
 }
--- a/internal/info/table.go
+++ b/internal/info/table.go
@@ -39,7 +39,7 @@
 	"grades":           {ours: "op_types", take: list(opType, distinctNotEmpty)},
 	"kinds":            {ours: "kinds", take: names},
 	"limits":           {ours: "limits", members: limits},
-	"load_info":        {ours: "load", members: members{"columns": {ours: "figures", take: words}, "source": {ours: "source"}}},
+	"load_info":        {ours: "load", members: load},
 	"me":               {ours: "me"},
 	"over_share_worth": {ours: "over_share_importance"},
 	"parties":          {ours: "customers", take: list(customer, distinct)},
@@ -54,6 +54,8 @@
 	"zones":            {ours: "zones", take: zones},
 }
 
+var load = members{"columns": {ours: "figures", take: words}, "source": {ours: "source"}}
+
 var opType = members{
 	"aim_stretch": {ours: "aim_stretch"},
 	"on_time":     {ours: "service_target", take: span},
@@ -94,8 +96,9 @@
 	"behind_price": {ours: "behind_price"}, "control": {ours: "control", take: word},
 	"counted_by":   {ours: "exposure_by", take: oneOf(map[string]string{"all": "all", "per_lane": "op_type"}, "")},
 	"counted_over": {ours: "exposure_window", take: bound}, "forward_only": {ours: "forward_only", take: flag},
-	"found_share": {ours: "found_share", take: share}, "guarded_stages": {ours: "guarded_stages", take: whole(mostStages)},
-	"harm_price": {ours: "harm_price"}, "metrics_period": {ours: "metrics_period", take: span},
+	"found_share":    {ours: "found_share", take: share},
+	"guarded_stages": {ours: "guarded_stages", take: whole(mostStages)},
+	"harm_price":     {ours: "harm_price"}, "metrics_period": {ours: "metrics_period", take: span},
 	"most_shares": {ours: "caps", take: shares}, "moves_after": {ours: "moves_after"},
 	"noes_needed": {ours: "votes_back"}, "repeat_every": {ours: "repeat_every"},
 	"replace_mode": {ours: "replace_mode"}, "shares": {ours: "stage_shares", take: shares}, "soak": {ours: "bake"},
--- a/internal/relay/told_test.go
+++ b/internal/relay/told_test.go
@@ -72,7 +72,8 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if cores, memory := told.Limits(); !(math.Ceil(cores) >= 1 && math.Ceil(cores) <= mostCores) || memory <= 0 || memory > math.MaxInt64/3 {
+			cores, memory := told.Limits()
+			if n := math.Ceil(cores); !(n >= 1 && n <= mostCores) || memory <= 0 || memory > math.MaxInt64/3 {
 				t.Errorf("limits %v, %d", cores, memory)
 			}
 			r := build(told)
@@ -129,7 +130,8 @@
 	if moved := b.discovery.Move("127.0.0.1:3"); moved {
 		t.Error("the second's discovery moved with the first's")
 	}
-	if a.room == b.room || a.pools == b.pools || a.front == b.front || a.watch == b.watch || a.desk == b.desk || a.gate == b.gate {
+	if a.room == b.room || a.pools == b.pools || a.front == b.front || a.watch == b.watch || a.desk == b.desk ||
+		a.gate == b.gate {
 		t.Error("a part is shared")
 	}
 }
