Hold cold units to N + 2 x root of N + 2, and round no relay's part of it up

But a part of just over one delivery a window was rounded up to two by each relay: 300 relays sent 600 where N is 360.

TestFalls fails with the old judge (17 and 18 of N = 9).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -257,7 +257,7 @@
 	spread := coldSpread * math.Sqrt(max(0, 1-budget)) / 2
 	budget = math.Pow(math.Sqrt(spread*spread+budget*relays)-spread, 2) / relays
 	if budget >= 1 {
-		return float64(len(u.sends)) < budget
+		return float64(len(u.sends))+1 <= budget // rounded up by each, all would send up to twice as much
 	}
 	return float64(r.now-u.coldFrom)*budget >= float64(tip)*u.coldDue
 }
--- a/internal/lab/days.go
+++ b/internal/lab/days.go
@@ -162,7 +162,7 @@
 			told += s.work
 		}
 	}
-	falls = sum > n+3*math.Sqrt(n)+3
+	falls = sum > n+2*math.Sqrt(n)+2
 	return falls, falls && told > sum*2/3
 }
 
--- a/internal/lab/days_test.go
+++ b/internal/lab/days_test.go
@@ -65,11 +65,11 @@
 		}
 		return all
 	}
-	const n = 9.0 // and so 9 + 3 x 3 + 3 = 21
+	const n = 9.0 // and so 9 + 2 x 3 + 2 = 17
 	for _, c := range []struct {
 		told, others  int
 		falls, broken bool
-	}{{21, 0, false, false}, {22, 0, true, true}, {15, 7, true, true}, {14, 8, true, false}, {0, 30, true, false}, {0, 0, false, false}} {
+	}{{17, 0, false, false}, {18, 0, true, true}, {13, 5, true, true}, {12, 6, true, false}, {0, 30, true, false}, {0, 0, false, false}} {
 		if f, b := falls(sends(c.told, c.others), n); f != c.falls || b != c.broken {
 			t.Errorf("%d told and %d others: falls %v, broken %v", c.told, c.others, f, b)
 		}
