Ask the module once more as a delivery is written, after its waits and its dial

Cause, each seen in a test of the pools before a scripted unit: with a connection that came up late the query was written to a unit that drained, was replaced, moved or got another build meanwhile, past the repeat window (two effects), after a cap was lowered, and for a client that had gone where deliveries are not cancelled. Late sends counted in the exposure and cold windows of their choice, not of their write. A unit that closed, reset or answered again between the look at its connection and the write cost the command an attempt, or gave it another command's answer.

Change: choice.Begin, asked through gate.Begin right before the first byte; what it refuses ends as never sent, and its connection is kept. The connection is looked at once more after that. The time told is worked out after both.

Tests of choice, gate and units pass with -race.

--- /dev/null
+++ b/choice/begin_test.go
@@ -0,0 +1,216 @@
+package choice
+
+import (
+	"fmt"
+	"testing"
+)
+
+// TestBegin: what has happened between the choice of a delivery and its write. Written at once it always may be.
+func TestBegin(t *testing.T) {
+	relist := func(change func(*Listing)) func(*bench, *Command, *Unit) {
+		return func(b *bench, _ *Command, u *Unit) {
+			is := u.Listing
+			change(&is)
+			b.UnitListed(b.now, u, is)
+		}
+	}
+	for _, c := range []struct {
+		name string
+		more map[string]any
+		op   int
+		late Tick // from its choice to its write
+		then func(*bench, *Command, *Unit)
+		want bool
+	}{
+		{"at once", nil, atMostOnce, 0, nil, true},
+		{"late, and all stands as it did", nil, atMostOnce, Second, nil, true},
+		{"its unit drains", nil, redeliverable, 1, relist(func(is *Listing) { is.State = Draining }), false},
+		{"its unit has gone", nil, redeliverable, 1, relist(func(is *Listing) { is.State = Gone }), false},
+		{"its unit has started anew", nil, redeliverable, 1, relist(func(is *Listing) { is.Start = start }), false},
+		{"its unit is of another build", nil, redeliverable, 1, relist(func(is *Listing) { is.Build = 2 }), false},
+		{"its unit is listed again as it was", nil, redeliverable, 1, relist(func(*Listing) {}), true},
+		{"its client has gone", nil, redeliverable, 1, func(b *bench, c *Command, _ *Unit) { b.Left(b.now, c) }, false},
+		{"its client has gone, where nothing is cancelled", map[string]any{"limits.may_cancel": false}, redeliverable, 1,
+			func(b *bench, c *Command, _ *Unit) { b.Left(b.now, c) }, false},
+		{"it was called off", nil, redeliverable, 1, func(_ *bench, c *Command, _ *Unit) { c.deliveries[0].cancelled = true }, false},
+		{"its time is over", nil, redeliverable, 2 * Second, nil, false},
+		{"its instance has moved", nil, redeliverable, 1, func(_ *bench, c *Command, _ *Unit) { c.Tied, c.At = true, &Unit{} }, false},
+		{"its instance has not", nil, redeliverable, 1, func(_ *bench, c *Command, u *Unit) { c.Tied, c.At = true, u }, true},
+		{"a later build has answered its key", nil, redeliverable, 1, func(b *bench, c *Command, _ *Unit) {
+			c.Key = 7
+			b.forwarded(7, 2)
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(c.more)
+			u := b.unit(1, 1, 0)
+			b.news(1, 0, Released, 1)
+			cmd := b.take(c.op)
+			d := b.host.sent[0]
+			check(t, "at once", b.Begin(b.now, d), true)
+			b.now += c.late
+			if c.then != nil {
+				c.then(b, cmd, u)
+			}
+			check(t, "late", b.Begin(b.now, d), c.want)
+			if b.Outcome(b.now, d, Moot, 0, false, nil); u.inFlight != 0 || len(b.out) != 0 || b.open() != 0 {
+				t.Errorf("%d in flight, %d out", u.inFlight, len(b.out))
+			}
+			if _, nacked := b.host.nacked[cmd]; !nacked && !cmd.held && !cmd.answered {
+				t.Error("what was not sent is neither tried again nor answered")
+			}
+		})
+	}
+}
+
+// TestMootIsTriedElsewhere: a delivery that may not begin any more proves that nothing ran, whatever its op type.
+func TestMootIsTriedElsewhere(t *testing.T) {
+	for op := redeliverable; op <= atMostOnce; op++ {
+		b := newBench(nil)
+		units := []*Unit{b.unit(1, 1, 0), b.unit(2, 1, 0)}
+		b.news(1, 0, Released, 1)
+		cmd := b.take(op)
+		d := b.host.sent[0]
+		is := d.To.Listing
+		is.State = Draining
+		b.UnitListed(b.now, d.To, is)
+		check(t, "begins at a draining unit", b.Begin(b.now+500, d), false)
+		b.Outcome(b.now+500, d, Moot, 0, false, nil)
+		check(t, "deliveries", len(cmd.deliveries), 2)
+		check(t, "the other unit", cmd.deliveries[1].To != d.To, true)
+		check(t, "begins there", b.Begin(b.now+500, cmd.deliveries[1]), true)
+		check(t, "in flight", units[0].inFlight+units[1].inFlight, 1)
+	}
+}
+
+// TestLateRepeat: a repeat that was chosen within its window and comes up past it is not sent, but answered.
+func TestLateRepeat(t *testing.T) {
+	for _, c := range []struct {
+		late Tick // after the first delivery
+		want bool
+	}{{9900, true}, {10000, false}, {11000, false}} { // the window is a second
+		b := newBench(nil)
+		for door := range uint32(2) {
+			b.UnitListed(b.now, &Unit{Door: door}, Listing{State: Ready, Build: 1})
+		}
+		b.news(1, 0, Released, 1)
+		cmd := b.take(deduplicated)
+		from := b.now
+		b.now += 1000
+		b.end(cmd, Reset)
+		check(t, "deliveries", len(cmd.deliveries), 2)
+		repeat := cmd.deliveries[1]
+		check(t, "at once", b.Begin(b.now, repeat), true)
+		if got := b.Begin(from+c.late, repeat); got != c.want {
+			t.Errorf("%d after the first: begins %v", c.late, got)
+		}
+		if b.Outcome(from+c.late, repeat, Moot, 0, false, nil); !c.want {
+			check(t, "failed, as the first may have run", b.host.failed[cmd], true)
+		}
+	}
+}
+
+// TestLoweredCapBindsTheWrite: a cap that was lowered while the connection came up binds what is written after the grace.
+func TestLoweredCapBindsTheWrite(t *testing.T) {
+	for _, c := range []struct {
+		late Tick
+		want bool
+	}{{0, true}, {30, true}, {1500, false}, {9000, false}} { // a lower cap binds 150 ms later
+		b := newBench(nil)
+		b.unit(1, 2, 0)
+		b.news(2, 1, OnTrial, 1)
+		b.pass(5 * Second)
+		b.take(redeliverable)
+		check(t, "deliveries", len(b.host.sent), 1)
+		b.news(2, 1, RollingBack, 0)
+		if got := b.Begin(b.now+c.late, b.host.sent[0]); got != c.want {
+			t.Errorf("%d late: begins %v", c.late, got)
+		}
+		if sent := b.lane(redeliverable).sent; len(sent) > 1 || c.want != (len(sent) == 1 && sent[0] == b.now+c.late) {
+			t.Errorf("%d late: it counts at %v", c.late, sent)
+		}
+	}
+}
+
+// TestLateDialsStayWithinTheCap: where connections to the build on trial come up late while traffic falls, what is
+// written in any window stays within what the window's own commands allow.
+func TestLateDialsStayWithinTheCap(t *testing.T) {
+	for _, lateBy := range []Tick{0, 1, 150, Second / 10, Second / 4} {
+		t.Run(fmt.Sprint(lateBy), func(t *testing.T) {
+			b := newBench(map[string]any{"rollout.exposure_window": 1.0, "rollout.caps": []any{0.3, 1.0}, "rollout.stage_shares": []any{0.5, 1.0}})
+			old, trial := b.unit(1, 1, 0), b.unit(2, 2, 0)
+			b.news(2, 0, OnTrial, 0.3)
+			b.pass(5 * Second)
+			type write struct {
+				at Tick
+				d  *Delivery
+			}
+			var writes []write
+			var taken, sent []Tick
+			done, worst, off, all := 0, 0.0, 0, 0
+			for i := range 12000 { // a millisecond each
+				b.now += 10
+				if i%50 == 0 {
+					b.Alarm(b.now, 0)
+				}
+				if every := 1 + 40*(i/1500%2); i%every == 0 {
+					taken = append(taken, b.now)
+					b.take(redeliverable)
+				}
+				for i := 0; i < len(writes); i++ {
+					if w := writes[i]; w.at <= b.now {
+						writes = append(writes[:i], writes[i+1:]...)
+						i--
+						if b.Begin(b.now, w.d) {
+							sent, all = append(sent, b.now), all+1
+							b.Outcome(b.now, w.d, Acked, 10, true, nil)
+						} else {
+							off++
+							b.Outcome(b.now, w.d, Moot, 0, false, nil)
+						}
+					}
+				}
+				for ; done < len(b.host.sent); done++ {
+					if d := b.host.sent[done]; d.To == old {
+						b.Outcome(b.now, d, Acked, 10, true, nil)
+					} else if d.To == trial {
+						writes = append(writes, write{b.now + lateBy*Tick(1+done%3)/3, d})
+					}
+				}
+				if taken, sent = recent(taken, b.now-Second), recent(sent, b.now-Second); len(sent) > 0 && sent[len(sent)-1] < b.now {
+					continue // the rule is asked at each attempt
+				}
+				worst = max(worst, float64(len(sent))-2-0.3*1.04*float64(len(taken))) // with the page's slack
+			}
+			if worst > 1e-9 || all < 100 || lateBy < 10 && off > 0 {
+				t.Errorf("%.1f over the cap at most, %d written, %d called off", worst, all, off)
+			}
+		})
+	}
+}
+
+// TestLateDialsAtAColdUnit: of two deliveries at a cold unit of which the first comes up late, beside the second, one is
+// sent; a late one alone is.
+func TestLateDialsAtAColdUnit(t *testing.T) {
+	for _, relays := range []float64{1, 100} {
+		for _, second := range []bool{false, true} {
+			b := newBench(map[string]any{"relays": relays})
+			u := b.unit(1, 1, start)
+			b.perUnit, b.now = 1.2/relays, b.now+Second // one delivery a window, at the least; half of one
+			u.coldFrom = start - 1000*Second
+			cmd := &Command{OpType: redeliverable, NotAfter: b.now + 5000*Second}
+			b.Command(b.now, cmd)
+			check(t, "deliveries", len(b.host.sent), 1)
+			first := b.host.sent[0]
+			u.Start = b.now + 100*Second - Second // its warming stands still for this
+			first.since = u.Start
+			if b.now += 100 * Second; second {
+				u.inFlight, u.coldFrom = 0, start-3000*Second
+				b.take(redeliverable)
+				check(t, "deliveries", len(b.host.sent), 2)
+				check(t, "the second at once", b.Begin(b.now, b.host.sent[1]), true)
+			}
+			check(t, fmt.Sprintf("%v relays: the late one, beside another %v", relays, second), b.Begin(b.now+100, first), !second)
+		}
+	}
+}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -181,12 +181,9 @@
 	d.due = r.now + Tick(float64(min(target, drawnOut*r.judged.middle[cmd.OpType]))/r.warmth(u))
 	d.first = len(u.acks) == 0 || r.now-u.acks[len(u.acks)-1] > r.span("limits.idle_close")
 	if r.onTrial(u.Build) {
-		l.sent = append(l.sent, r.now)
 		l.credit = max(0, l.credit-1)
 	}
-	if r.warmth(u) < 1 {
-		u.sends, u.coldFrom, u.coldDue = append(u.sends, r.now), r.now, 1
-	}
+	r.written(d)
 	if u.inFlight == 0 {
 		u.oldest = r.now
 	}
@@ -200,25 +197,54 @@
 	return true
 }
 
-func (r *Relay) mayTake(cmd *Command, u *Unit) bool {
-	if u.State != Ready || !r.harmless(cmd, u) {
+// Begin asks whether a delivery may be written after the waits and the dial since its choice, and counts it as of now.
+// Guards against late dials: past a repeat window, at a unit that drains or is another one, over the budgets.
+func (r *Relay) Begin(now Tick, d *Delivery) bool {
+	cmd, u, l, before := d.Cmd, d.To, r.lane(d.Cmd.OpType), *d.Cmd
+	r.now, before.deliveries = now, cmd.deliveries[:d.No]
+	l.sent, u.sends = without(l.sent, d.sent), without(u.sends, d.sent)
+	late, same := now > d.sent+sweepEvery/10, u.Start == d.since && u.Build == d.build
+	if cmd.answered || d.cancelled || now >= cmd.NotAfter || !same || !r.allowed(&before, u) {
+		return false
+	}
+	if late && (r.onTrial(u.Build) && !r.exposable(cmd, l, u.Build) || u.coldFrom != d.sent && !r.coldRoom(u)) {
 		return false
 	}
-	if n := len(cmd.deliveries); cmd.Tied && cmd.At != u || n > 0 && cmd.deliveries[n-1].To == u &&
+	r.written(d)
+	return true
+}
+
+// written counts a delivery as of now towards exposure and the cold budget.
+func (r *Relay) written(d *Delivery) {
+	if l := r.lane(d.Cmd.OpType); r.onTrial(d.build) {
+		l.sent = append(l.sent, r.now)
+	}
+	if u := d.To; r.warmth(u) < 1 {
+		u.sends, u.coldFrom, u.coldDue = append(u.sends, r.now), r.now, 1
+	}
+}
+
+func (r *Relay) mayTake(cmd *Command, u *Unit) bool {
+	if n := len(cmd.deliveries); !r.allowed(cmd, u) || n > 0 && cmd.deliveries[n-1].To == u &&
 		(!cmd.Tied || r.now < cmd.deliveries[n-1].sent+sweepEvery<<n) {
 		return false // a tied one has no other unit: again after a pause that doubles
 	}
+	if r.doubted(u) && !r.alone {
+		// A trickle of commands that can be tried again tells whether it has come back.
+		return r.now >= u.nextTry && u.inFlight < 2 && r.word2(cmd, "repeats") != "at_most_once" && r.coldRoom(u)
+	}
+	return float64(u.inFlight) < r.room(u) && r.coldRoom(u)
+}
+
+// allowed keeps the rules on what may go to a unit, as it is chosen and once more as the delivery is written.
+func (r *Relay) allowed(cmd *Command, u *Unit) bool {
 	for by, keys := range r.forward { // a forward-only key; its build may not be announced yet
 		if u.Build < by && keys.has(cmd.Key) && (by > r.news.Build ||
 			by == r.news.Build && (r.news.Phase == OnTrial || r.news.Phase == Released)) {
 			return false
 		}
 	}
-	if r.doubted(u) && !r.alone {
-		// A trickle of commands that can be tried again tells whether it has come back.
-		return r.now >= u.nextTry && u.inFlight < 2 && r.word2(cmd, "repeats") != "at_most_once" && r.coldRoom(u)
-	}
-	return float64(u.inFlight) < r.room(u) && r.coldRoom(u)
+	return u.State == Ready && (!cmd.Tied || cmd.At == u) && r.harmless(cmd, u)
 }
 
 // poor: it failed of late, and more of its last deliveries than others of the fleet do.
@@ -274,10 +300,7 @@
 	if r.recount != 0 && r.now > r.recount { // a lowered cap has bound since
 		l.sent, l.taken = recent(l.sent, r.recount-1), recent(l.taken, r.recount+1)
 	}
-	free := r.num("rollout.exposure_free")
-	if r.now <= r.born+window {
-		free = 0 // this relay may have been killed just now, and its sends still count
-	}
+	free := r.num("rollout.exposure_free") * mark(r.now > r.born+window) // a killed one's sends count
 	return float64(len(l.sent)+1) <= free+share*float64(len(l.taken))-1e-5
 }
 
@@ -292,12 +315,9 @@
 		case u != nil && !d.ended:
 			return false
 		case repeats == "redeliverable":
-		case repeats != "deduplicated":
-			return false
-		case u == nil && group != "all":
-			return false
-		case u != nil && (r.now+1 >= d.sent+r.opSpan(cmd, "repeat_window") ||
-			group != "all" && (group != "zone" || d.To.Zone != u.Zone) && (group != "cell" || d.To.Cell != u.Cell)):
+		case repeats != "deduplicated", u == nil && group != "all",
+			u != nil && (r.now+1 >= d.sent+r.opSpan(cmd, "repeat_window") ||
+				group != "all" && (group != "zone" || d.To.Zone != u.Zone) && (group != "cell" || d.To.Cell != u.Cell)):
 			return false
 		}
 	}
@@ -311,10 +331,9 @@
 		r.host.Fail(cmd)
 		return
 	}
-	var back Tick
+	back, half := Tick(0), r.opSpan(cmd, "service_target")/2
 	if r.flag("limits.come_back") {
-		target := r.opSpan(cmd, "service_target")
-		back = min(r.span("limits.max_come_back"), target/2+Tick(r.chance(int(target/2)+1)))
+		back = min(r.span("limits.max_come_back"), half+Tick(r.chance(int(half)+1)))
 	}
 	r.host.Nack(cmd, back)
 }
@@ -402,13 +421,8 @@
 	if !d.slow && !(slow && d.first) {
 		r.pace(d, slow)
 	}
-	j, op, broke, x, y := r.judged, d.Cmd.OpType, len(r.opTypes)+2, 0.0, 0.0
-	switch d.ending {
-	case Errored:
-		x = 1
-	case Reset:
-		y = 1
-	case Acked:
+	j, op, broke, x, y := r.judged, d.Cmd.OpType, len(r.opTypes)+2, mark(d.ending == Errored), mark(d.ending == Reset)
+	if d.ending == Acked {
 		r.answer(d.build, 0)
 	}
 	switch {
@@ -433,10 +447,8 @@
 // than the earlier build showed before. Guards against builds that are slow, turn slow, or slow all
 // units with the traffic they get; a burst of commands or a new connection speaks for itself.
 func (r *Relay) pace(d *Delivery, slow bool) {
-	j, last, x := r.judged, len(r.opTypes)+1, 0.0
-	if slow {
-		d.slow, x = true, 1
-	}
+	j, last, x := r.judged, len(r.opTypes)+1, mark(slow)
+	d.slow = d.slow || slow
 	switch {
 	case d.build < j.build:
 		r.base.add(last, x, kept+len(r.acks))
@@ -455,8 +467,7 @@
 // a unit, so that silence speaks for units everywhere; hurts where the trial's units alone are cut off.
 func (r *Relay) Tally(now Tick, build uint16, opType, many, failed int, took, age Tick) {
 	r.now = now
-	j, last := r.judged, len(r.opTypes)+3
-	failed = min(failed, many)
+	j, last, failed := r.judged, len(r.opTypes)+3, min(failed, many)
 	for i := range min(many, keptFlags) {
 		x := float64((i+1)*failed/many - i*failed/many)
 		switch {
@@ -682,10 +693,7 @@
 }
 
 // Moved takes that instances of commands that wait are at other units now.
-func (r *Relay) Moved(now Tick) {
-	r.now = now
-	r.serve()
-}
+func (r *Relay) Moved(now Tick) { r.now = now; r.serve() }
 
 func (r *Relay) UnitListed(now Tick, u *Unit, is Listing) {
 	r.now = now
@@ -711,19 +719,16 @@
 	if j != nil && (!r.told || r.news.Build != j.build || r.news.Phase == Released) {
 		r.base = j.sample // it was kept: now it is the earlier build
 	}
-	ops := len(r.opTypes)
+	ops, n := len(r.opTypes), float64(len(r.opTypes))
 	r.tell = make([]byte, 2*ops+2)
 	r.judged = &trial{build: build, sample: newSample(ops), streams: make([]stream, ops+5), out: slices.Repeat([]float64{1}, ops+1),
 		before: r.share(ops + 1), middle: slices.Clone(r.middle), acked: float64(len(r.acks)),
 		whole: max(1, r.whole), places: float64(len(r.units) - r.running(build))}
-	for i := range r.judged.streams {
-		r.judged.streams[i].level = alpha / float64(ops)
-	}
-	for _, whole := range []int{0, ops + 1, ops + 4} {
-		r.judged.streams[whole].level = alpha
-	}
 	// Load can mislead a relay as to slowness, and one misled relay decides for all.
-	r.judged.streams[ops+2].level = alpha / max(1, r.num("relays"))
+	parts := append(append([]float64{1}, slices.Repeat([]float64{n}, ops)...), 1, max(1, r.num("relays")), n, 1)
+	for i, part := range parts {
+		r.judged.streams[i].level = alpha / part
+	}
 }
 
 func (r *Relay) Stage(now Tick, news StageNews) {
@@ -769,10 +774,9 @@
 		return NoVote
 	case clocked:
 		return Hold
-	case !wary && r.short() < 0 && (j.inStage >= need || timed):
+	case !wary && (r.short() < 0 && (j.inStage >= need || timed) ||
+		timed && r.now-r.since >= r.span("rollout.evidence_wait")): // by the clock, with its smaller promise
 		return GoOn
-	case !wary && timed && r.now-r.since >= r.span("rollout.evidence_wait"):
-		return GoOn // by the clock, with its smaller promise
 	}
 	return NoVote
 }
@@ -825,8 +829,7 @@
 }
 
 func (r *Relay) consider() {
-	at := r.stage()
-	want, v := r.verdict(), &r.ballot
+	at, want, v := r.stage(), r.verdict(), &r.ballot
 	if want == NoVote {
 		if v.state == drawn {
 			v.state = noBallot
--- a/choice/help.go
+++ b/choice/help.go
@@ -54,6 +54,22 @@
 	return sum / float64(max(1, len(x)))
 }
 
+// mark is 1 for what is so.
+func mark(so bool) float64 {
+	if so {
+		return 1
+	}
+	return 0
+}
+
+// without takes one time out of a list in order, if it is there.
+func without(times []Tick, at Tick) []Tick {
+	if i, has := slices.BinarySearch(times, at); has {
+		return slices.Delete(times, i, i+1)
+	}
+	return times
+}
+
 // keep appends a sample and holds on to the last n.
 func keep[T any](all []T, one T, n int) []T {
 	all = append(all, one)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -315,6 +315,15 @@
 	return g.ended(d, MirrorOutcome(status, believed, end), nil)
 }
 
+// Begin tells whether a delivery that is about to be written still may be: its client waits for it, its unit is where it
+// was chosen, and the module's rules hold as they stand now. It counts as sent from now on.
+func (g *Gate) Begin(d *Delivery) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return d.Context.Err() == nil && g.open[d.module.Cmd] != nil && g.byDoor[d.module.To.Door].place() == d.Unit &&
+		g.module.Begin(g.now(), d.module)
+}
+
 // Streaming tells that the answer to a delivery is being passed on while it comes.
 func (g *Gate) Streaming(d *Delivery) {
 	g.mu.Lock()
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -64,18 +64,31 @@
 	keep  bool
 }
 
-// Deliver makes one delivery of a query.
+// Deliver makes one delivery of a query, if that still may begin once there is a connection.
 func (p *Pools) Deliver(d *gate.Delivery, q *pgwire.Query) Reply {
 	c, r := p.open(d.Context, d.Unit)
 	if c == nil {
 		return r
 	}
-	if d.Context.Err() != nil { // called off before it began: it is not sent
-		p.close(c)
+	c.Within(d.Context)
+	begins := p.gate.Begin(d) // it may have waited for a place or a dial
+	left := time.Until(d.StopAt).Milliseconds()
+	if !begins || left < 1 { // nothing is written, and the connection is as good as before
+		if c.Release() && p.gate.Serves(d.Unit) {
+			p.rested(c)
+		} else {
+			p.close(c)
+		}
 		return Reply{End: link.End{How: link.CalledOff}}
 	}
-	c.Within(d.Context)
-	c.Put(q.Parts(time.Until(d.StopAt).Milliseconds())...)
+	if !c.Quiet() { // the unit has ended it since: nothing is written
+		fresh := c.since.IsZero()
+		if p.drop(c); fresh {
+			return Reply{End: link.End{How: link.Closed}}
+		}
+		return p.Deliver(d, q)
+	}
+	c.Put(q.Parts(left)...)
 	if end := c.Flush(); end.Over() {
 		p.close(c)
 		return Reply{End: end}
@@ -169,8 +182,8 @@
 		}
 		select {
 		case p.slots <- struct{}{}:
-		case <-ctx.Done():
-			return nil, Reply{End: link.End{How: link.Refused}}
+		case <-ctx.Done(): // which speaks for no unit
+			return nil, Reply{End: link.End{How: link.CalledOff}}
 		}
 	}
 	c, r := p.dial(ctx, to)
@@ -208,6 +221,9 @@
 	if end.Over() {
 		return nil, Reply{End: link.End{How: end.How}} // no query was written
 	}
+	if ctx.Err() == context.Canceled { // given up just as it came up, which speaks for no unit
+		return nil, Reply{End: link.End{How: link.CalledOff}}
+	}
 	return nil, Reply{End: link.End{How: link.NotUp}}
 }
 
--- a/internal/units/units_test.go
+++ b/internal/units/units_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"regexp"
 	"strings"
@@ -24,18 +25,28 @@
 	*Pools
 	gate *gate.Gate
 	room *link.Room
+	pad  int // bytes that the ids of commands are longer by
 }
 
 const connects = 300 * time.Millisecond // time limit of a new connection
 
 func newHouse(t *testing.T, most int, rest time.Duration, dials ...string) *house {
+	t.Helper()
+	return houseOf(t, time.Second, map[string]any{"limits.max_deliveries": 1.0}, most, rest, dials...)
+}
+
+// houseOf is the same with another service target and other settings.
+func houseOf(t *testing.T, target time.Duration, more map[string]any, most int, rest time.Duration, dials ...string) *house {
 	t.Helper()
 	h := &house{t: t, room: link.NewRoom(1 << 20)}
 	op := func(name, repeats string) map[string]any {
-		return map[string]any{"name": name, "repeats": repeats, "service_target": 1.0, "command_timeout": 2.0, "importance": 1.0}
+		return map[string]any{"name": name, "repeats": repeats, "repeat_group": "all", "repeat_window": 0.4,
+			"service_target": target.Seconds(), "command_timeout": 2 * target.Seconds(), "importance": 1.0}
 	}
-	h.gate = gate.New(1, map[string]any{"relays": 1.0, "limits.max_deliveries": 1.0,
-		"op_types": []map[string]any{op("read", "redeliverable")}}, gate.Hands{Log: func(string) {}, Watch: func(bool) {},
+	set := map[string]any{"relays": 1.0, "limits.may_cancel": true, "limits.max_deliveries": 3.0, "op_types": []map[string]any{
+		op("read", "redeliverable"), op("edit", "deduplicated"), op("sell", "at_most_once")}}
+	maps.Copy(set, more)
+	h.gate = gate.New(1, set, gate.Hands{Log: func(string) {}, Watch: func(bool) {},
 		CloseIdle: func(name string) { h.CloseIdle(name) }})
 	h.Pools = New(h.room, most, connects, rest, h.gate)
 	var hosts []gate.Host
