Send nothing on of a client that goes before its command is handed over

A reader starts a command's goroutine and may read the client's close before that goroutine first calls Pick. Leave then found no open command and did nothing; Pick handed the command to the module afterwards and it went on to a unit, up to its whole time, with nobody to tell that its client had gone.

Leave marks such a command now, and Pick answers Gone. Nothing else of the gate changes.

TestLeftBeforeItIsHandedOver fails without it: the one that left gets a delivery, 2 deliveries, 2 open. Passed with -race -count=5.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -207,6 +207,7 @@
 	module choice.Command
 	steps  chan Step // at most one delivery and one final answer are ever waiting
 	handed bool
+	left   bool // its client went before it was handed over
 	op     int
 	key    string
 	from   string // its customer
@@ -278,6 +279,10 @@
 	if !c.handed {
 		c.handed = true
 		g.mu.Lock()
+		if c.left {
+			g.mu.Unlock()
+			return Step{Final: Gone}
+		}
 		g.doors++
 		c.module.Door = g.doors
 		g.open[&c.module] = c
@@ -355,6 +360,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.open[&c.module] == nil {
+		c.left = true
 		return
 	}
 	delete(g.open, &c.module)
