See a client go in every state of its session, and keep reading behind answers of one's own

What was seen, each by a test that fails on the front before this commit: - say waited on the session's reader for the answers before its own.

Answers of the front's own now queue like those of commands, and the reader reads on. A session that is through reading still watches for the close.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -33,7 +33,7 @@
 	back  string        // for nacks for lack of places, in milliseconds
 
 	mu      sync.Mutex
-	ended   sync.Cond           // a session has
+	freed   sync.Cond           // a session has ended, or has no command
 	open    int                 // sessions
 	ids     map[string]struct{} // of the open commands
 	idle    list.List           // sessions that wait for a command, the longest first
@@ -48,18 +48,20 @@
 type session struct {
 	*Front
 	*link.Link
-	came     time.Time // when the last bytes did
-	last     chan struct{}
+	came     time.Time     // when the last bytes did
+	last     chan struct{} // closed with the last answer that is owed
+	owed     chan struct{} // one for each answer that is
 	commands errgroup.Group
 	over     bool // it came when there was no place: its commands are nacked
 	refused  bool // what comes up to the end of an extended query is skipped
 
 	// Guarded by Front.mu.
-	since   time.Time                  // when it came, or its last command ended
+	since   time.Time                  // when it came, was greeted, its last command ended, or a further message began
 	served  bool                       // it has had a command
 	open    map[*gate.Command]struct{} // commands in work
 	waiting bool                       // for the first byte of a message
 	close   bool                       // to be closed between commands
+	cut     bool                       // it does not take its answers: to be closed at once
 	in      *list.List                 // idle, young or none
 	place   *list.Element
 }
@@ -71,7 +73,7 @@
 	if back > 0 {
 		f.back = strconv.FormatInt(back.Milliseconds(), 10)
 	}
-	f.ended.L = &f.mu
+	f.freed.L = &f.mu
 	return f
 }
 
@@ -110,15 +112,16 @@
 // enter makes a session. Where all places are taken, one that has no command has to go; where there
 // is none, the new one is there to be nacked. It waits only while the spare places are taken too.
 func (f *Front) enter(conn net.Conn) *session {
-	s := &session{Front: f, Link: link.New(conn, f.room), last: make(chan struct{}), since: time.Now(),
-		open: map[*gate.Command]struct{}{}}
+	s := &session{Front: f, Link: link.New(conn, f.room), last: make(chan struct{}), open: map[*gate.Command]struct{}{},
+		owed: make(chan struct{}, f.parts.Owed)}
 	close(s.last)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for f.open >= f.parts.Places+f.parts.Spare {
 		f.yield()
-		f.ended.Wait()
+		f.await()
 	}
+	s.since = time.Now()
 	s.over = f.open >= f.parts.Places && !f.yield()
 	f.open++
 	s.sort()
@@ -145,6 +148,7 @@
 		return
 	}
 	s.place = in.PushBack(s)
+	s.freed.Signal()
 	for in.Len() > s.parts.Idle && s.evict(in) {
 	}
 }
@@ -177,10 +181,21 @@
 		return false
 	}
 	f.yield()
-	f.ended.Wait()
+	f.await()
 	return true
 }
 
+// await waits until a session has ended or has no command, or until one more may have been silent for too long.
+func (f *Front) await() {
+	wake := time.AfterFunc(f.parts.Brief/10, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.freed.Broadcast()
+	})
+	defer wake.Stop()
+	f.freed.Wait()
+}
+
 func (f *Front) leave(s *session) {
 	s.Close()
 	f.mu.Lock()
@@ -188,7 +203,7 @@
 	s.close = true
 	s.sort()
 	f.open--
-	f.ended.Signal()
+	f.freed.Signal()
 }
 
 // Stop tells that the program may be killed soon after a time. What still comes is answered by then.
@@ -221,13 +236,17 @@
 
 // serve reads a session's messages to its end and waits for its commands. A client that closes has gone.
 func (s *session) serve() {
-	defer s.commands.Wait()
+	s.read()
+	s.finish()
+}
+
+func (s *session) read() {
 	if !s.greet() {
 		return
 	}
 	for {
 		kind, size, ok := s.next()
-		if !ok {
+		if !ok || !s.mayOwe() {
 			return
 		}
 		switch kind {
@@ -251,9 +270,37 @@
 	}
 }
 
+// finish waits for the answers that are owed. What still comes is dropped, to see the client go.
+func (s *session) finish() {
+	s.mu.Lock()
+	s.close = true
+	s.sort()
+	s.ReadBy(time.Time{})
+	if s.cut {
+		s.StopReading()
+	}
+	s.mu.Unlock()
+	var watch errgroup.Group
+	select {
+	case <-s.last:
+	default:
+		watch.Go(func() error {
+			end := s.Fill(0)
+			for ; !end.Over(); end = s.Fill(0) {
+				s.Drop(len(s.Bytes()))
+			}
+			s.gone()
+			return nil
+		})
+	}
+	s.commands.Wait()
+	s.StopReading()
+	watch.Wait()
+}
+
 // greet takes the startup, within the time limit.
 func (s *session) greet() bool {
-	until := s.by()
+	until := s.since.Add(max(s.parts.Keep, s.limit))
 	for {
 		start, size, err := pgwire.Startup(s.Bytes())
 		switch {
@@ -277,29 +324,94 @@
 			}
 		default:
 			s.Put(pgwire.Hello())
+			s.mu.Lock()
+			s.since = time.Now()
+			s.mu.Unlock()
 			return len(s.Bytes()) > 0 || s.say() // with the first answer, if its query is here
 		}
 	}
 }
 
-// say writes at once, behind the answers to what came before.
+// mayOwe waits until the answer to one more message may be owed. Meanwhile nothing is read; that the client goes is
+// seen all the same.
+func (s *session) mayOwe() bool {
+	const look = 10 * time.Millisecond
+	if len(s.owed) < cap(s.owed) {
+		return true
+	}
+	for beat := time.NewTicker(look); ; {
+		select {
+		case s.owed <- struct{}{}: // only the reader takes one
+			<-s.owed
+			beat.Stop()
+			return true
+		case <-beat.C:
+		}
+		_, closed := s.Heard()
+		s.mu.Lock()
+		over := s.cut
+		s.mu.Unlock()
+		if closed || over {
+			beat.Stop()
+			s.gone()
+			return false
+		}
+	}
+}
+
+// next turn among the answers: it has come once those before are written; done lets the one behind have its own.
+func (s *session) turn() (come <-chan struct{}, done func()) {
+	come, next := s.last, make(chan struct{})
+	s.last = next
+	s.owed <- struct{}{}
+	return come, func() {
+		<-s.owed
+		close(next)
+	}
+}
+
+// say answers behind the answers to what came before. The reader does not wait for those: it has to see the client go.
 func (s *session) say(parts ...[]byte) bool {
-	<-s.last
-	s.Put(parts...)
-	s.WriteBy(time.Now().Add(s.limit))
-	return !s.Flush().Over()
+	turn, done := s.turn()
+	select {
+	case <-turn:
+		defer done()
+		return s.send(parts...)
+	default:
+	}
+	s.commands.Go(func() error {
+		defer done()
+		<-turn
+		s.send(parts...)
+		return nil
+	})
+	return true
 }
 
-// by is when a message that begins now is to be whole.
-func (s *session) by() time.Time {
+// send writes in its turn. A client that does not read it loses its session.
+func (s *session) send(parts ...[]byte) bool {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.served {
-		return s.since.Add(max(s.parts.Keep, s.limit))
+	cut := s.cut
+	s.mu.Unlock()
+	if cut {
+		return false
 	}
-	return time.Now().Add(s.limit)
+	s.Put(parts...)
+	s.WriteBy(time.Now().Add(s.limit))
+	if !s.Flush().Over() {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.close, s.cut = true, true
+	s.sort()
+	s.StopReading()
+	return false
 }
 
+// by is when a message that begins now is to be whole.
+func (s *session) by() time.Time { return time.Now().Add(s.limit) }
+
 // next waits for the head of the next message.
 func (s *session) next() (kind byte, size int, ok bool) {
 	var until time.Time
@@ -308,7 +420,9 @@
 		switch {
 		case err != nil:
 			s.Malformed.Add(1)
-			s.say(pgwire.Problem("FATAL", pgwire.Violation, err.Error(), ""))
+			if s.mayOwe() {
+				s.say(pgwire.Problem("FATAL", pgwire.Violation, err.Error(), ""))
+			}
 			return 0, 0, false
 		case size > 0:
 			return kind, size, true
@@ -334,15 +448,21 @@
 		s.ReadBy(s.stays())
 		s.mu.Unlock()
 		end := s.fill(0)
+		begun := !end.Over() || end.How == link.Late && s.Pending()
 		s.mu.Lock()
 		s.waiting = false
-		stays := time.Now().Before(s.stays())
+		stays, cut := time.Now().Before(s.stays()), s.cut
+		if begun && s.served {
+			s.since = time.Now()
+		}
 		s.sort()
 		s.mu.Unlock()
 		switch {
+		case cut:
+			return false
 		case end.How != link.Late:
 			return s.still(end)
-		case s.Pending():
+		case begun:
 			return s.more(0, s.by())
 		case !stays:
 			return false
@@ -354,6 +474,8 @@
 // come just before the end of all sessions, and has asked nothing yet, is not turned away at once.
 func (s *session) stays() time.Time {
 	switch {
+	case s.cut:
+		return time.Unix(1, 0)
 	case len(s.open) > 0:
 		return time.Now().Add(s.parts.Keep)
 	case s.close, s.closing && s.served:
@@ -374,8 +496,13 @@
 	}
 	s.mu.Unlock()
 	end := s.fill(want)
-	if end.How == link.Late && s.Pending() {
+	s.mu.Lock()
+	again := end.How == link.Late && !s.cut && s.Pending()
+	if again {
 		s.ReadBy(time.Now().Add(s.limit))
+	}
+	s.mu.Unlock()
+	if again {
 		end = s.fill(want)
 	}
 	return s.still(end)
@@ -383,7 +510,11 @@
 
 func (s *session) fill(want int) link.End {
 	end := s.Fill(want)
-	s.came = time.Now().Add(-s.Waited())
+	ago, closed := s.Heard()
+	s.came = time.Now().Add(-ago)
+	if closed { // also where it closed behind commands that are not read yet: nobody waits for those
+		end.How = link.Closed
+	}
 	return end
 }
 
@@ -512,11 +643,10 @@
 	case full:
 		return false, s.crowded()
 	}
-	turn, next := s.last, make(chan struct{})
-	s.last = next
+	turn, done := s.turn()
 	s.commands.Go(func() error {
 		s.command(cmd, q, turn)
-		close(next)
+		done()
 		s.end(cmd)
 		s.room.Give(size)
 		return nil
@@ -608,16 +738,9 @@
 	delete(s.ids, q.ID)
 }
 
-// write writes an answer in its turn. A client that does not read it loses its session.
+// write writes an answer in its turn.
 func (s *session) write(q *pgwire.Query, turn <-chan struct{}, parts ...[]byte) {
 	<-turn
 	s.free(q)
-	s.Put(parts...)
-	s.Put(pgwire.Ready())
-	s.WriteBy(time.Now().Add(s.limit))
-	if s.Flush().Over() {
-		s.mu.Lock()
-		s.close = true
-		s.mu.Unlock()
-	}
+	s.send(append(parts, pgwire.Ready())...)
 }
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -115,45 +115,58 @@
 	return s.TCPConn.Write(p)
 }
 
+func listen(t *testing.T) *net.TCPListener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l.(*net.TCPListener)
+}
+
 // relayBehind is relay with something between its listener and it.
 func relayBehind(t *testing.T, places int, answer string, wrap func(net.Listener) net.Listener) (address string, u *unit, f *Front) {
 	t.Helper()
-	listen := func() net.Listener {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		return l
-	}
-	u = &unit{Listener: listen(), answer: answer}
+	u = &unit{Listener: listen(t), answer: answer}
 	go u.serve()
+	t.Cleanup(func() { u.Close() })
+	address, f = relayTo(t, places, u.Addr().String(), 4*time.Second, 1, wrap)
+	return address, u, f
+}
+
+// relayTo is a front with a unit at an address behind it, none if that is empty.
+func relayTo(t *testing.T, places int, at string, limit time.Duration, deliveries float64,
+	wrap func(net.Listener) net.Listener) (address string, f *Front) {
+	t.Helper()
 	op := func(name, repeats string) map[string]any {
 		return map[string]any{"name": name, "repeats": repeats, "service_target": 1.0, "command_timeout": 4.0,
 			"importance": 1.0}
 	}
 	room := link.NewRoom(4 << 20)
 	nothing := func(string) {}
-	g := gate.New(1, map[string]any{"relays": 1.0, "limits.max_deliveries": 1.0,
+	g := gate.New(1, map[string]any{"relays": 1.0, "limits.max_deliveries": deliveries, "limits.may_cancel": true,
 		"op_types": []map[string]any{op("read", "redeliverable"), op("sell", "at_most_once")}},
 		gate.Hands{Log: nothing, CloseIdle: nothing, Watch: func(bool) {}})
-	g.List(true, []gate.Host{{Name: "s-1", Dial: u.Addr().String(), State: "up", Build: 1}})
+	if at != "" {
+		g.List(true, []gate.Host{{Name: "s-1", Dial: at, State: "up", Build: 1}})
+	}
 	g.Told(gate.Stage{Build: 1, State: "live", Cap: 1})
 	pools := units.New(room, 4, time.Second, time.Minute, g)
-	f = New(g, pools, room, overload.Shares(places), 4*time.Second, time.Second)
-	l := listen()
+	f = New(g, pools, room, overload.Shares(places), limit, time.Second)
+	l := listen(t)
+	wrapped := wrap(l)
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
-	group.Go(func() error { return f.Serve(wrap(l)) })
+	group.Go(func() error { return f.Serve(wrapped) })
 	group.Go(func() error { return pools.Run(ctx) })
 	group.Go(func() error { return g.Tick(ctx) })
 	t.Cleanup(func() {
 		f.Wind()
 		l.Close()
 		cancel()
-		u.Close()
 		group.Wait()
 	})
-	return l.Addr().String(), u, f
+	return l.Addr().String(), f
 }
 
 func dial(t *testing.T, address string) net.Conn {
--- /dev/null
+++ b/internal/clients/crossing_test.go
@@ -0,0 +1,518 @@
+package clients
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"silvercove/internal/overload"
+	"silvercove/internal/pgwire"
+)
+
+// until waits for what has to come about.
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within 10 s: %s", what)
+		}
+	}
+}
+
+func descriptors(t *testing.T) int {
+	t.Helper()
+	all, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(all)
+}
+
+// leavesNothing checks at the test's end that no goroutine and no descriptor is left of it.
+func leavesNothing(t *testing.T) {
+	t.Helper()
+	listen(t).Close() // the poller has its own
+	here, before := goleak.IgnoreCurrent(), descriptors(t)
+	t.Cleanup(func() {
+		goleak.VerifyNone(t, here)
+		until(t, "no descriptor is left", func() bool { return descriptors(t) <= before })
+	})
+}
+
+// script is a unit that does what a test says with each query; what it was sent counts, also what it does not answer.
+type script struct {
+	*net.TCPListener
+	greet  func()                    // before a connection is greeted; nil: at once
+	answer func(n int) (with string) // of the n-th query: nothing is said with an empty one
+
+	mu    sync.Mutex
+	seen  []string // the queries' texts
+	conns int      // that are open
+	all   sync.WaitGroup
+}
+
+func newScript(t *testing.T) *script {
+	t.Helper()
+	u := &script{TCPListener: listen(t)}
+	u.answer = func(int) string { return "" }
+	u.all.Go(func() {
+		for {
+			c, err := u.Accept()
+			if err != nil {
+				return
+			}
+			u.all.Go(func() { u.serve(c) })
+		}
+	})
+	t.Cleanup(func() {
+		u.Close()
+		u.all.Wait()
+	})
+	return u
+}
+
+func (u *script) count(n int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.conns += n
+}
+
+func (u *script) open() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.conns
+}
+
+func (u *script) queries() []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]string(nil), u.seen...)
+}
+
+func (u *script) serve(c net.Conn) {
+	defer c.Close()
+	u.count(1)
+	defer u.count(-1)
+	b := make([]byte, 4<<10)
+	c.Read(b)
+	if u.greet != nil {
+		u.greet()
+	}
+	io.WriteString(c, message('R', "\x00\x00\x00\x00")+string(pgwire.Ready()))
+	for {
+		n, err := c.Read(b)
+		if err != nil || b[0] != 'Q' {
+			return
+		}
+		u.mu.Lock()
+		u.seen = append(u.seen, string(b[5:n-1]))
+		at := len(u.seen)
+		u.mu.Unlock()
+		with := u.answer(at)
+		io.WriteString(c, with)
+	}
+}
+
+func query(id, op string) string {
+	return message('Q', "SELECT content FROM kv WHERE name = '7f3a' /* id="+id+",c="+op+",t=acme,d=3000 */\x00")
+}
+
+var whole = row + string(pgwire.Ready())
+
+// answer reads one whole answer and tells its SQLSTATE: a cold unit gets no more than a few commands at once, and the
+// others are nacked.
+func answer(t *testing.T, c net.Conn) string {
+	t.Helper()
+	var in []byte
+	for b := make([]byte, 1); ; {
+		var a pgwire.Answer
+		if err := a.Read(in); err != nil {
+			t.Fatal(err)
+		}
+		if a.Ready {
+			return a.State
+		}
+		n, err := c.Read(b)
+		if in = append(in, b[:n]...); err != nil {
+			t.Fatalf("%q: %v", in, err)
+		}
+	}
+}
+
+// nothingOwed waits until the front and the gate know no command and no session.
+func nothingOwed(t *testing.T, f *Front) {
+	t.Helper()
+	began := time.Now()
+	until(t, "the session ends", func() bool { return f.InUse() == 0 })
+	if took := time.Since(began); took > 500*time.Millisecond {
+		t.Errorf("its session ended after %v", took)
+	}
+	if n := f.gate.Snapshot(); n.Open != 0 || n.Out != 0 {
+		t.Errorf("%d commands are open, %d deliveries out", n.Open, n.Out)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.ids) != 0 {
+		t.Errorf("%d ids are open", len(f.ids))
+	}
+}
+
+// TestClientGoes: in whatever state a session is, its client's going is seen at once: nothing more is sent on, and what is
+// out is given up.
+func TestClientGoes(t *testing.T) {
+	slow := query("51", "read") // at a unit that does not answer
+	ways := map[string]func(c *net.TCPConn){
+		"closes":      func(c *net.TCPConn) { c.Close() },
+		"half-closes": func(c *net.TCPConn) { c.CloseWrite() },
+		"resets": func(c *net.TCPConn) {
+			c.SetLinger(0)
+			c.Close()
+		},
+	}
+	for _, c := range []struct{ name, send string }{
+		{"behind nothing", ""},
+		{"behind half a query", query("07", "read")[:30]},
+		{"behind a query", query("07", "read")},
+		{"behind an empty query", message('Q', "\x00")},
+		{"behind a malformed query", message('Q', "BEGIN\x00")},
+		{"behind one of its id", slow},
+		{"behind one of an unknown op type", query("07", "x")},
+		{"behind an oversized query", message('Q', strings.Repeat("x", pgwire.MostQuery)+"\x00")},
+		{"behind an extended query", message('P', "\x00\x00\x00\x00") + message('S', "")},
+		{"behind an unknown message", message('y', "")},
+		{"behind a malformed message", "Q\x00\x00\x00\x00"},
+		{"behind more than it may be owed", strings.Repeat(message('Q', "\x00"), 1000)},
+		{"behind more commands than it may be owed", strings.Repeat(query("07", "read"), 1000)},
+	} {
+		for way, leave := range ways {
+			t.Run(c.name+"/"+way, func(t *testing.T) {
+				leavesNothing(t)
+				u := newScript(t)
+				address, f := relayTo(t, 64, u.Addr().String(), 4*time.Second, 3, func(l net.Listener) net.Listener { return l })
+				conn := dial(t, address).(*net.TCPConn)
+				io.WriteString(conn, string(pgwire.Hail())+slow)
+				until(t, "the unit has the first", func() bool { return len(u.queries()) == 1 })
+				io.WriteString(conn, c.send)
+				leave(conn)
+				nothingOwed(t, f)
+				until(t, "deliveries are given up", func() bool { return u.open() == 0 })
+				for _, q := range u.queries() {
+					if !strings.Contains(q, "id=51,") && !strings.Contains(q, "id=07,") {
+						t.Errorf("the unit saw %q", q)
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestClientGoesBeforeADelivery: a command that has no delivery out when its client goes has none begun any more.
+func TestClientGoesBeforeADelivery(t *testing.T) {
+	plain := func(l net.Listener) net.Listener { return l }
+	t.Run("while it is held", func(t *testing.T) {
+		leavesNothing(t)
+		u := newScript(t)
+		address, f := relayTo(t, 64, "", 4*time.Second, 3, plain) // no unit is listed
+		c := dial(t, address)
+		io.WriteString(c, string(pgwire.Hail())+query("07", "read"))
+		until(t, "it is held", func() bool { return f.gate.Snapshot().Open == 1 })
+		c.Close()
+		nothingOwed(t, f)
+		if n := f.gate.Snapshot(); n.Ops[0].Left != 1 || n.Delivered != 0 || len(u.queries()) != 0 {
+			t.Errorf("%+v", n)
+		}
+	})
+	t.Run("while its connection is made", func(t *testing.T) {
+		leavesNothing(t)
+		u := newScript(t)
+		goOn := make(chan struct{})
+		u.greet = func() { <-goOn }
+		address, f := relayTo(t, 64, u.Addr().String(), 4*time.Second, 3, plain)
+		c := dial(t, address)
+		io.WriteString(c, string(pgwire.Hail())+query("07", "read"))
+		until(t, "it is dialled", func() bool { return u.open() == 1 })
+		c.Close()
+		nothingOwed(t, f)
+		close(goOn)
+		until(t, "the dial is given up", func() bool { return u.open() == 0 })
+		if n := len(u.queries()); n > 0 {
+			t.Errorf("the unit saw %d queries", n)
+		}
+	})
+	t.Run("between two attempts", func(t *testing.T) {
+		leavesNothing(t)
+		u := newScript(t)
+		first, goOn := make(chan struct{}), make(chan struct{})
+		u.answer = func(n int) string {
+			if n == 1 {
+				close(first)
+				<-goOn
+			}
+			return string(pgwire.Problem("ERROR", pgwire.NoRoom, "full", "")) + string(pgwire.Ready())
+		}
+		address, f := relayTo(t, 64, u.Addr().String(), 4*time.Second, 3, plain)
+		c := dial(t, address)
+		io.WriteString(c, string(pgwire.Hail())+query("07", "read"))
+		<-first
+		c.Close()
+		until(t, "its going is seen", func() bool { return f.gate.Snapshot().Ops[0].Left == 1 })
+		close(goOn)
+		nothingOwed(t, f)
+		if n := len(u.queries()); n != 1 {
+			t.Errorf("the unit saw %d queries", n)
+		}
+	})
+	t.Run("before the relay looks", func(t *testing.T) {
+		leavesNothing(t)
+		u := newScript(t)
+		gone := make(chan struct{})
+		address, f := relayTo(t, 64, u.Addr().String(), 4*time.Second, 3, func(l net.Listener) net.Listener {
+			return &held{TCPListener: l.(*net.TCPListener), until: gone}
+		})
+		c := dial(t, address)
+		io.WriteString(c, string(pgwire.Hail())+query("07", "read")+query("08", "read"))
+		c.Close()
+		close(gone)
+		until(t, "it is accepted", func() bool { return f.Accepted.Load() == 1 })
+		nothingOwed(t, f)
+		if n := f.gate.Snapshot(); n.Delivered != 0 || len(u.queries()) != 0 {
+			t.Errorf("%d deliveries", n.Delivered)
+		}
+	})
+}
+
+// held is a listener that is asked only once something has happened.
+type held struct {
+	*net.TCPListener
+	until chan struct{}
+}
+
+func (h *held) Accept() (net.Conn, error) {
+	<-h.until
+	return h.TCPListener.Accept()
+}
+
+// TestMalformedBehindOthers: what is answered at once waits for its turn, without holding up what comes behind it.
+func TestMalformedBehindOthers(t *testing.T) {
+	leavesNothing(t)
+	u := newScript(t)
+	goOn := make(chan struct{})
+	u.answer = func(n int) string {
+		if n == 3 {
+			<-goOn
+		}
+		return whole
+	}
+	address, _ := relayTo(t, 64, u.Addr().String(), 4*time.Second, 3, func(l net.Listener) net.Listener { return l })
+	c := dial(t, address)
+	no := string(pgwire.Problem("ERROR", pgwire.BadSyntax, "no statement of the two forms", "")) + string(pgwire.Ready())
+	io.WriteString(c, string(pgwire.Hail())+query("01", "read")) // an answer makes room at the unit for more
+	want(t, c, string(pgwire.Hello())+whole)
+	io.WriteString(c, query("02", "read"))
+	want(t, c, whole)
+	io.WriteString(c, query("01", "read")+message('Q', "BEGIN\x00")+query("02", "read")+message('Q', "\x00"))
+	until(t, "both are at the unit", func() bool { return len(u.queries()) == 4 })
+	close(goOn)
+	want(t, c, whole+no+whole+string(pgwire.EmptyAnswer()))
+}
+
+// TestFloodOfOne: what one client writes behind a command that takes its time is not kept but left to wait: then all is
+// answered in its order.
+func TestFloodOfOne(t *testing.T) {
+	leavesNothing(t)
+	u := newScript(t)
+	goOn := make(chan struct{})
+	u.answer = func(int) string {
+		<-goOn
+		return whole
+	}
+	address, f := relayTo(t, 64, u.Addr().String(), 4*time.Second, 3, func(l net.Listener) net.Listener { return l })
+	c := dial(t, address)
+	const many = 5000
+	var written sync.WaitGroup
+	written.Go(func() {
+		io.WriteString(c, string(pgwire.Hail())+query("01", "read")+strings.Repeat(message('Q', "\x00"), many))
+	})
+	defer written.Wait()
+	until(t, "the unit has the first", func() bool { return len(u.queries()) == 1 })
+	stays(t, f)
+	if _, kept := f.room.InUse(); kept > 64<<10 {
+		t.Errorf("%d bytes are kept", kept)
+	}
+	close(goOn)
+	want(t, c, string(pgwire.Hello())+whole+strings.Repeat(string(pgwire.EmptyAnswer()), many))
+}
+
+// TestClientDoesNotRead: a client that takes no answer within its limit loses its session at once, and not an answer at a
+// time.
+func TestClientDoesNotRead(t *testing.T) {
+	leavesNothing(t)
+	u := newScript(t)
+	large := string(pgwire.Row([]byte(strings.Repeat("v", pgwire.MostValue)), "SELECT 1"))
+	u.answer = func(int) string { return large }
+	const limit = 400 * time.Millisecond
+	address, f := relayTo(t, 64, u.Addr().String(), limit, 3, func(l net.Listener) net.Listener {
+		return &small{l.(*net.TCPListener)}
+	})
+	c := dial(t, address)
+	c.(*net.TCPConn).SetReadBuffer(4 << 10)
+	io.WriteString(c, string(pgwire.Hail()))
+	for i := range 40 {
+		io.WriteString(c, query(fmt.Sprint("b", i), "read"))
+	}
+	until(t, "it is in", func() bool { return f.InUse() == 1 })
+	began := time.Now()
+	until(t, "it is out", func() bool { return f.InUse() == 0 })
+	if took := time.Since(began); took > 4*limit {
+		t.Errorf("it kept its session for %v", took)
+	}
+}
+
+// small is a listener whose connections have small buffers.
+type small struct{ *net.TCPListener }
+
+func (s *small) Accept() (net.Conn, error) {
+	c, err := s.TCPListener.AcceptTCP()
+	if err == nil {
+		c.SetWriteBuffer(4 << 10)
+	}
+	return c, err
+}
+
+// TestCutAtEveryByte: a startup and a query that come in two pieces are answered, wherever they are cut, also where the
+// end of all sessions comes in between.
+func TestCutAtEveryByte(t *testing.T) {
+	text := string(pgwire.Hail()) + query("07", "read")
+	for _, ends := range []bool{false, true} {
+		t.Run(fmt.Sprint("ends ", ends), func(t *testing.T) {
+			leavesNothing(t)
+			u := newScript(t)
+			u.answer = func(int) string { return whole }
+			address, f := relayTo(t, 1024, u.Addr().String(), 4*time.Second, 3, func(l net.Listener) net.Listener { return l })
+			all := make([]net.Conn, len(text))
+			part := func(i int) string { return strings.Replace(text, "id=07", fmt.Sprintf("id=%02x", i), 1) }
+			for i := range all {
+				all[i] = dial(t, address)
+				io.WriteString(all[i], part(i)[:i])
+			}
+			until(t, "all are in", func() bool { return f.InUse() == len(all) })
+			if ends {
+				f.Stop(time.Now().Add(4 * time.Second))
+				f.Wind()
+			}
+			for i, c := range all {
+				io.WriteString(c, part(i)[i:])
+			}
+			acked := 0
+			for i, c := range all {
+				want(t, c, string(pgwire.Hello()))
+				switch state := answer(t, c); state {
+				case pgwire.Complete:
+					acked++
+				case pgwire.NoRoom:
+				default:
+					t.Errorf("cut at %d: answered %s", i, state)
+				}
+				if !ends {
+					c.Close()
+				} else if b, err := io.ReadAll(c); err != nil || len(b) > 0 {
+					t.Errorf("cut at %d: then it got %q, %v", i, b, err)
+				}
+			}
+			if n := len(u.queries()); n != acked || acked == 0 {
+				t.Errorf("%d effects, %d acked", n, acked)
+			}
+		})
+	}
+}
+
+// TestLateStartup: who has come a while before the end of all sessions, and is greeted behind it, has a moment for its
+// command.
+func TestLateStartup(t *testing.T) {
+	leavesNothing(t)
+	u := newScript(t)
+	u.answer = func(int) string { return whole }
+	address, f := relayTo(t, 64, u.Addr().String(), 4*time.Second, 3, func(l net.Listener) net.Listener { return l })
+	c := dial(t, address)
+	io.WriteString(c, string(pgwire.Hail()[:9]))
+	until(t, "it is in", func() bool { return f.InUse() == 1 })
+	time.Sleep(overload.Shares(64).Brief + 50*time.Millisecond) // its moment is over
+	f.Wind()
+	io.WriteString(c, string(pgwire.Hail()[9:]))
+	want(t, c, string(pgwire.Hello()))
+	stays(t, f)
+	io.WriteString(c, query("07", "read"))
+	want(t, c, whole)
+}
+
+// TestFirstQueryAtTheEndOfItsWait: a first query that begins just before a new session is given up has as long to be whole
+// as any other.
+func TestFirstQueryAtTheEndOfItsWait(t *testing.T) {
+	leavesNothing(t)
+	u := newScript(t)
+	u.answer = func(int) string { return whole }
+	address, f := relayTo(t, 64, u.Addr().String(), time.Second, 3, func(l net.Listener) net.Listener { return l })
+	keep := overload.Shares(64).Keep
+	c := dial(t, address)
+	io.WriteString(c, string(pgwire.Hail()))
+	want(t, c, string(pgwire.Hello()))
+	time.Sleep(keep - 300*time.Millisecond)
+	io.WriteString(c, query("07", "read")[:20])
+	time.Sleep(500 * time.Millisecond)
+	if f.InUse() == 0 {
+		t.Fatal("its session has ended")
+	}
+	io.WriteString(c, query("07", "read")[20:])
+	want(t, c, whole)
+}
+
+// TestHalfAQueryKeepsItsPlace: of a session that was idle for a while and sends its next command in pieces, the place is
+// not given away between two of them to who has come just then.
+func TestHalfAQueryKeepsItsPlace(t *testing.T) {
+	leavesNothing(t)
+	u := newScript(t)
+	u.answer = func(int) string { return whole }
+	address, f := relayTo(t, 8, u.Addr().String(), 4*time.Second, 3, func(l net.Listener) net.Listener { return l })
+	c := dial(t, address)
+	io.WriteString(c, string(pgwire.Hail())+query("07", "read"))
+	want(t, c, string(pgwire.Hello())+whole)
+	time.Sleep(overload.Shares(8).Brief + 50*time.Millisecond)
+	io.WriteString(c, query("08", "read")[:20])
+	until(t, "its command has begun", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.young.Len() == 1
+	})
+	for range 7 {
+		dial(t, address)
+	}
+	until(t, "all places are taken", func() bool { return f.Accepted.Load() == 8 })
+	io.WriteString(c, query("08", "read")[20:])
+	want(t, c, whole)
+}
+
+// TestSilentOnesGiveWayToOneThatWaits: where silent ones that have just come have all places, the spare ones too, the next
+// client waits as long as a message may take there, and not as long as they might stay.
+func TestSilentOnesGiveWayToOneThatWaits(t *testing.T) {
+	leavesNothing(t)
+	u := newScript(t)
+	u.answer = func(int) string { return whole }
+	address, f := relayTo(t, 8, u.Addr().String(), 4*time.Second, 3, func(l net.Listener) net.Listener { return l })
+	for range 8 {
+		dial(t, address)
+	}
+	began := time.Now()
+	c := dial(t, address)
+	io.WriteString(c, string(pgwire.Hail())+query("07", "read"))
+	want(t, c, string(pgwire.Hello())+whole)
+	if took := time.Since(began); took > overload.Shares(8).Keep/2 {
+		t.Errorf("answered after %v, %d sessions", took, f.InUse())
+	}
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -53,6 +53,7 @@
 type Link struct {
 	conn    net.Conn // a TCP connection, for what the kernel tells of it
 	in, out ring
+	up      bool // the kernel has said so; the reader's
 	sent    atomic.Bool
 	gone    context.Context // whose end calls the work on this connection off
 	stop    func() bool
@@ -187,18 +188,21 @@
 	return End{Broke, l.sent.Load()}
 }
 
-// Waited tells how long ago the last bytes came, read by now or not. It shows what this process
-// slept through.
-func (l *Link) Waited() time.Duration {
-	var age time.Duration
+// Heard tells how long ago the last bytes came, read by now or not, which shows what this process slept through; and
+// whether the other side has closed, be it behind bytes that are still to be read.
+func (l *Link) Heard() (ago time.Duration, closed bool) {
 	if raw, err := l.conn.(syscall.Conn).SyscallConn(); err == nil {
 		raw.Control(func(fd uintptr) {
 			if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-				age = time.Duration(info.Last_data_recv) * time.Millisecond
+				ago = time.Duration(info.Last_data_recv) * time.Millisecond
+				up := info.State == unix.BPF_TCP_ESTABLISHED
+				// A kernel that tells no states tells the same one all the time.
+				closed = info.State == unix.BPF_TCP_CLOSE_WAIT || l.up && !up
+				l.up = l.up || up
 			}
 		})
 	}
-	return age
+	return ago, closed
 }
 
 // Quiet tells whether an idle connection is still up and nothing has come on it unasked.
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -168,8 +168,18 @@
 		t.Error("it is quiet with a byte unasked")
 	}
 	l.Fill(1)
-	if l.Waited() > time.Second {
-		t.Errorf("the byte is said to wait for %v", l.Waited())
+	if ago, closed := l.Heard(); ago > time.Second || closed {
+		t.Errorf("the byte is said to wait for %v, closed %v", ago, closed)
+	}
+	other.Write([]byte("y"))
+	other.Close()
+	for end := time.Now().Add(5 * time.Second); ; { // behind a byte that is not read
+		if _, closed := l.Heard(); closed {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("it is not said to be closed")
+		}
 	}
 }
 
