Ask for the list again within 4 s of a call, whatever rules.ask_every says

A relay that was turned away waited up to three quarters of rules.ask_every (15 s with 20 s), and half of it after a first call at the start, while a change counts as told 6 s after discovery had it.

TestChangeIsAskedForInTime fails without the bound (ask_every 10 and up), and with the lines as they were. go test -race ./choice passes.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -71,8 +71,8 @@
 	r.figure()
 	if r.word("discovery") == "subscribe" {
 		r.host.Watch(true)
-		r.asking, r.askGap = true, Second
-		r.askAgain = now + r.span("rules.ask_every")/2
+		r.asking, r.askGap = true, askMost
+		r.askLater()
 	}
 	r.marks = make([]float64, keptUnit) // before any outcome the units are held to be good
 	r.near, r.limit, r.rescues = nearLeast, nearLeast, nearLeast
@@ -639,8 +639,7 @@
 	}
 	if r.asking && now >= r.askAgain { // asks for the list's changes, less often each time
 		r.host.Watch(true)
-		r.askGap = min(2*r.askGap, max(Second, r.span("rules.ask_every")/2))
-		r.askAgain = now + r.askGap/2 + Tick(r.chance(int(r.askGap)))
+		r.askLater()
 	}
 	for _, cmd := range r.held {
 		if !cmd.answered && r.hopeless(cmd) {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -322,6 +322,46 @@
 	}
 }
 
+// TestChangeIsAskedForInTime: whatever the settings say, a list that could not be had is asked for again within 4 s and a
+// timer's period, so that 2 s are left of the 6 s after which a change counts as told; and from the first call on. Relays
+// that were turned away together do not come again together.
+func TestChangeIsAskedForInTime(t *testing.T) {
+	const most = 4*Second + sweepEvery
+	for _, every := range []any{nil, "soon", -5.0, 0.0, 0.1, 1.0, 3.0, 10.0, 20.0, 600.0, 1e6, 1e300} {
+		for _, starts := range []bool{true, false} { // turned away at the start, or after the list was had
+			at := map[Tick]int{} // when the tenth call comes
+			for seed := range uint64(60) {
+				host := &desk{nacked: map[*Command]Tick{}, failed: map[*Command]bool{}}
+				b := &bench{Relay: New(host, start, seed, settings(map[string]any{"discovery": "subscribe", "rules.ask_every": every})),
+					host: host, now: start}
+				if !starts {
+					b.pass(sweepEvery)
+					b.Listed(b.now, true)
+				}
+				b.Listed(b.now, false)
+				for last, n := b.now, 0; n < 10; {
+					before := host.watch
+					if b.pass(sweepEvery); b.now-last > most {
+						t.Fatalf("ask_every %v: nothing is asked for %d s after a call", every, (b.now-last)/Second)
+					}
+					if host.watch > before {
+						last, n = b.now, n+1
+						b.Listed(b.now, false)
+						if n == 10 {
+							at[b.now]++
+						}
+					}
+				}
+			}
+			for when, n := range at {
+				if n > 12 {
+					t.Errorf("ask_every %v: %d of 60 relays ask at %d", every, n, when)
+				}
+			}
+		}
+	}
+}
+
 // TestLittleTimeLeft: a command that has just come is tried while half of the deliveries would be in time; one that had
 // to wait is given up when nine in ten would not be.
 func TestLittleTimeLeft(t *testing.T) {
