Bound every call for the list, and follow versions that go back

Found by reading, each shown by a test that failed with its lines taken out: - a call that begins a watch could take its wait and rollout.vote_wait, and graces of drains next to nothing made calls follow each other without end: all limits are cut to 4 s, with floors (TestSilentListIsFoundInTime, TestSilentListIsBackInTime); - a call that SIGHUP called off counted as the first of a start (TestListIsSilentAfterTheMove); - amid the pause after a call that was turned away, a move waited for the module's word (TestMoveDoesNotWaitForTheModule); - changes of an earlier version were followed as if nothing had happened; now the whole list is asked for, and where lists are pushed also after each call that failed, as the agent may have restarted (TestListVersionGoesBack, TestListNamesNobody); - an agent that answers a watch at once with nothing new was asked without end: 5,865 to 9,576 calls in a second, now at most 40 (TestEarlyAnswers). Ruled out: trickled bytes do not put the limit of a call off (TestListIsSilentAmidAnAnswer). A standing watch waits 2 s at the most, before 3.

go test -race ./internal/list passes.

--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -65,20 +65,33 @@
 	fetch chan struct{}
 	first chan struct{} // closed once the first call has ended
 
+	astray bool // the last answer held changes of a version before the one that they were asked for
+
 	Answers, Failures atomic.Int64
 }
 
-// A watch that has fallen silent is broken, and what it misses counts as told 6 s after it fell silent, or 2 s after
-// the wait of its call is over. By then another has to stand: these leave a second for its opening.
+// A watch that has fallen silent is broken, and what it misses counts as told 6 s after it fell silent. After 4 s another
+// has to be asked for, so that 2 s are left for its answer: a watch that stands is found out after mostWait and
+// mostLimit, and where it is asked for the module begins another within a second; a call that begins one is found
+// out after mostCall, by when the module's next word has come or is due, as its pause is 4 s at the most too.
 const (
-	mostWait  = 3 * time.Second
+	mostWait  = 2 * time.Second
 	mostLimit = time.Second
+	mostCall  = 4 * time.Second
+	// Graces of drains that are next to nothing would have calls follow each other without end, and given up before a
+	// busy machine's agent could answer.
+	leastWait  = 100 * time.Millisecond
+	leastLimit = 250 * time.Millisecond
+	// between is the pause after a call that failed, or was answered early with nothing new: who takes no account of how
+	// long a call may wait is not asked without end. A watch goes on if its next call comes within 200 ms.
+	between = 125 * time.Millisecond
 )
 
 // New makes a watch at a place that goes on from a version. A call has limit more time than it may wait, or queue
-// where it begins a watch that had to be asked for. Wait and limit are cut to what finds a silent watch in time.
+// where it begins a watch that had to be asked for. All are cut to what finds a silent watch in time.
 func New(place *link.Place, seq int64, wait, limit, queue time.Duration, room *link.Room, log func(string)) *Watch {
-	return &Watch{place: place, seq: seq, wait: min(wait, mostWait), limit: min(limit, mostLimit), queue: queue, room: room,
+	wait, limit = min(max(wait, leastWait), mostWait), min(max(limit, leastLimit), mostLimit)
+	return &Watch{place: place, seq: seq, wait: wait, limit: limit, queue: min(max(queue, limit), mostCall-wait), room: room,
 		log: log, on: make(chan bool, 1), fetch: make(chan struct{}, 1), first: make(chan struct{})}
 }
 
@@ -116,10 +129,11 @@
 // Run watches until the context ends; on: from the start, and again by itself after a call that failed. Else it
 // begins a watch when On says so, and one that has failed waits for the next word: the module knows how often all
 // relays together may ask, and who asks at once when turned away keeps discovery overbooked for everyone. Where lists
-// are pushed, the first call is for all that the agent has: it need not wait for something newer.
+// are pushed, the first call is for all that the agent has, and so is that after one that failed: it need not wait for
+// something newer, and an agent that has restarted may count its versions otherwise.
 func (w *Watch) Run(ctx context.Context, g *gate.Gate, on bool) error {
 	w.gate = g
-	alone := on
+	alone, wanted := on, on
 	var l *link.Link
 	at, lost := "", on // lost: the changes can not be followed from w.seq on
 	ended := sync.OnceFunc(func() { close(w.first) })
@@ -132,23 +146,22 @@
 	}()
 	for ctx.Err() == nil {
 		whole := false
+		address, here, release := w.place.Now(ctx)
 		select {
-		case on = <-w.on:
+		case wanted = <-w.on:
+			on = wanted
+			release()
 			continue
 		case <-w.fetch:
 			whole = true
 		default:
-			if !on {
-				select {
-				case on = <-w.on:
-				case <-w.fetch:
-					w.Fetch()
-				case <-ctx.Done():
-				}
+			if on = on || wanted && at != "" && address != at; !on { // what counts where it moved to waits for no word
+				w.idle(here, &on, &wanted)
+				begins = true
+				release()
 				continue
 			}
 		}
-		address, here, release := w.place.Now(ctx)
 		if address != at && l != nil {
 			l.Close()
 			l = nil
@@ -157,36 +170,55 @@
 			lost, begins = true, true // the agent there may count its versions otherwise
 		}
 		at = address
+		began, was := time.Now(), w.seq
 		var end link.End
 		l, end = w.call(here, address, l, whole || lost, begins && !alone)
 		moved := here.Err() != nil
-		release()
-		ended()
-		lost, begins = lost && end.Over(), end.Over()
-		if !end.Over() || moved {
-			continue
+		all := whole || lost
+		lost, begins = w.astray || end.Over() && (lost || alone), end.Over()
+		if !moved {
+			ended()
 		}
-		w.Failures.Add(1)
-		w.log(fmt.Sprintf("list: call failed: %s", end.How))
-		if on = alone; alone {
-			w.pause(ctx)
+		switch {
+		case moved:
+		case end.Over():
+			w.Failures.Add(1)
+			w.log(fmt.Sprintf("list: call failed: %s", end.How))
+			if on = alone; alone {
+				w.pause(here)
+			}
+			w.gate.ListFailed()
+		case !all && w.seq <= was && time.Since(began) < w.wait/2:
+			w.pause(here)
 		}
-		w.gate.ListFailed()
+		release()
 	}
 	return nil
 }
 
-// pause keeps a dead agent from being asked without end.
-func (w *Watch) pause(ctx context.Context) {
+// idle waits for something to ask for, or until the peer has moved.
+func (w *Watch) idle(here context.Context, on, wanted *bool) {
 	select {
-	case <-time.After(w.limit / 8):
-	case <-ctx.Done():
+	case *wanted = <-w.on:
+		*on = *wanted
+	case <-w.fetch:
+		w.Fetch()
+	case <-here.Done():
+	}
+}
+
+// pause keeps an agent that is dead, or answers without end, from being asked without end.
+func (w *Watch) pause(here context.Context) {
+	select {
+	case <-time.After(between):
+	case <-here.Done():
 	}
 }
 
 // call makes one call, on the connection that is open or on a new one, and takes its answer. One that discovery
 // itself has to answer waits in its queue first.
 func (w *Watch) call(ctx context.Context, address string, l *link.Link, whole, queued bool) (*link.Link, link.End) {
+	w.astray = false
 	path, wait := "/v1/servers", time.Duration(0)
 	if !whole {
 		wait = w.wait
@@ -241,7 +273,7 @@
 			if err != nil {
 				return link.End{How: link.Malformed, Sent: true}
 			}
-			w.seq = seq
+			w.seq, w.astray = seq, !whole && seq < w.seq
 			w.Answers.Add(1)
 			w.gate.List(whole, hosts)
 			if a.Close {
