Bound the whole start at 3 s and follow signals from its first wait on

Warm waited for limits.connect_timeout, of any size, and for places without a context; signals were only followed once the relay listened, so that SIGTERM waited for silent agents and units, and SIGHUP did not move the list away from a silent one. The first call and the first connections now share one limit; the signals' loop begins before them; ended before it listens, a relay ends at once. One that cannot listen ends its parts before it says so.

Seen to fail with the lines taken out: TestReadyInTime (not ready in 10 s without the limit), TestSignalsInTheStart (8 connections to where the unit had been; SIGTERM after 3.6 and 2.6 s with the loop after the listening).

Pools look for idle connections 20 times a second at the most (idle_close that is absent or tiny had them look 1,000 times); a connection past its rest is not used in between. go test -race ./internal/relay ./internal/units passes. TestDeliveryEndings/it_comes_up_late failed once at a load of 28 on six cores, then passed 9 times, and 8 without this change.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,6 +33,7 @@
 	leastSockets = 3 * otherSockets
 	handOver     = 500 * time.Millisecond // after SIGTERM, until no new connections come
 	mostKill     = 3 * time.Second        // SIGKILL comes 0.7 s after the longest command timeout, or after this
+	mostStart    = 3 * time.Second        // for the first list and connections to units; a restart has 6 s to be ready
 )
 
 // relay is the parts of the program.
@@ -100,53 +101,98 @@
 	for _, part := range beside {
 		group.Go(func() error { return part(ctx, r.gate) })
 	}
+	listening := make(chan net.Listener, 1)
+	group.Go(func() error {
+		r.heed(ctx, cancel, signals, listening, env)
+		return nil
+	})
+	listener, err := r.open(ctx, t, pushed)
+	if err != nil {
+		cancel()
+		group.Wait()
+		return err
+	}
+	if listener != nil {
+		if listening <- listener; ctx.Err() != nil { // ended as it began to listen: nobody has been taken in
+			listener.Close()
+		}
+		group.Go(func() error {
+			defer cancel() // the rest is needed as long as there are sessions
+			return r.front.Serve(listener)
+		})
+		r.log.Info().Str("name", t.name).Str("listen", t.listen).Int("units", len(t.known)).Float64("cores", t.cores).Int64("memory", t.memory).Int("sockets", t.sockets).Msg("serving")
+	}
+	err = group.Wait()
+	r.print("stopped")
+	return err
+}
+
+// open gets the relay ready and then listens; nil: it is to end. The waits before have one limit, whatever the settings
+// say and whoever is silent: a relay that serves with what it knows is better than none.
+func (r *relay) open(ctx context.Context, t Told, pushed bool) (net.Listener, error) {
+	limited, cancel := context.WithTimeout(ctx, mostStart)
+	defer cancel()
 	if pushed { // what the agent has counts as told from the first moment
-		r.watch.First(ctx)
+		r.watch.First(limited)
 	}
 	relays, _ := t.settings["relays"].(float64)
-	r.pools.Warm(r.gate.Ready(), int(min(max(relays, 1), math.MaxInt32)))
+	r.pools.Warm(limited, r.gate.Ready(), int(min(max(relays, 1), math.MaxInt32)))
 	if t.Turn != nil {
 		t.Turn(ctx)
 	}
-	listener, err := net.Listen("tcp", t.listen) // now it is ready to serve
-	if err != nil {
-		return err
+	if ctx.Err() != nil {
+		return nil, nil
 	}
-	group.Go(func() error {
-		defer cancel() // the rest is needed as long as there are sessions
-		return r.front.Serve(listener)
-	})
-	group.Go(func() error {
-		var next <-chan time.Time
-		steps := []func(){r.front.Wind, func() { listener.Close() }}
-		for stopping := false; ; {
-			select {
-			case s := <-signals:
-				switch {
-				case s == syscall.SIGUSR1:
-					r.print("counters")
-				case s == syscall.SIGHUP: // also after SIGTERM: changes of the list still count
-					r.reload(env)
-				case !stopping: // another changes nothing
-					r.log.Info().Str("signal", s.String()).Msg("stopping")
-					r.front.Stop(time.Now().Add(r.left))
-					stopping, next = true, time.After(handOver)
-				}
-			case <-next:
-				steps[0]()
-				if steps = steps[1:]; len(steps) > 0 {
-					next = time.After(handOver / 10)
-				}
-			case <-ctx.Done():
-				listener.Close()
-				return nil
+	return net.Listen("tcp", t.listen) // now it is ready to serve
+}
+
+// heed follows the signals, from before the first wait of the start to the end.
+func (r *relay) heed(ctx context.Context, end func(), signals chan os.Signal, listening chan net.Listener, env func(string) string) {
+	var listener net.Listener
+	defer func() {
+		<-ctx.Done()
+		select {
+		case listener = <-listening: // it came as the relay was ended
+			r.front.Stop(time.Now().Add(r.left))
+			r.front.Wind()
+		default:
+		}
+		if listener != nil {
+			listener.Close()
+		}
+	}()
+	var next <-chan time.Time
+	steps := []func(){r.front.Wind, func() { listener.Close() }}
+	for stopping := false; ; {
+		select {
+		case listener = <-listening:
+		case s := <-signals:
+			if listener == nil && len(listening) > 0 {
+				listener = <-listening
 			}
+			switch {
+			case s == syscall.SIGUSR1:
+				r.print("counters")
+			case s == syscall.SIGHUP: // also after SIGTERM: changes of the list still count
+				r.reload(env)
+			case listener == nil: // nobody has been taken in
+				r.log.Info().Str("signal", s.String()).Msg("stopping before the start")
+				end()
+				return
+			case !stopping: // another changes nothing
+				r.log.Info().Str("signal", s.String()).Msg("stopping")
+				r.front.Stop(time.Now().Add(r.left))
+				stopping, next = true, time.After(handOver)
+			}
+		case <-next:
+			steps[0]()
+			if steps = steps[1:]; len(steps) > 0 {
+				next = time.After(handOver / 10)
+			}
+		case <-ctx.Done():
+			return
 		}
-	})
-	r.log.Info().Str("name", t.name).Str("listen", t.listen).Int("units", len(t.known)).Float64("cores", t.cores).Int64("memory", t.memory).Int("sockets", t.sockets).Msg("serving")
-	err = group.Wait()
-	r.print("stopped")
-	return err
+	}
 }
 
 // growTable makes the kernel's table of descriptors as large as it will be needed. Where it grows
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -292,14 +292,18 @@
 // Warm opens connections to units that have just been listed, part of them to each, so that the first
 // commands after a start need not wait for them. All relays together open no more at a unit than one of
 // them might alone: many that start at once would spend the units' work on connections that few commands
-// use. It waits at most as long as one takes.
-func (p *Pools) Warm(to []gate.Unit, relays int) {
-	ctx, cancel := context.WithTimeout(context.Background(), p.connect)
+// use. It waits at most as long as one takes, and not beyond the context: what is not up by then is given up.
+func (p *Pools) Warm(ctx context.Context, to []gate.Unit, relays int) {
+	ctx, cancel := context.WithTimeout(ctx, p.connect)
 	defer cancel()
 	var all sync.WaitGroup
 	for i := range min(cap(p.slots)/2/max(1, len(to)), cap(p.slots)/2/max(1, relays)) * len(to) {
 		all.Go(func() {
-			p.slots <- struct{}{}
+			select {
+			case p.slots <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
 			c, _ := p.dial(ctx, to[i%len(to)])
 			if c == nil {
 				<-p.slots
@@ -335,7 +339,7 @@
 
 // Run closes connections ahead of the units' own idle limit until the context ends, then all.
 func (p *Pools) Run(ctx context.Context) error {
-	beat := time.NewTicker(max(p.rest/16, time.Millisecond))
+	beat := time.NewTicker(max(p.rest/16, 50*time.Millisecond)) // an idle relay costs nothing; open minds the limit itself
 	defer beat.Stop()
 	for {
 		select {
