Ask a client's socket whether it has closed as its delivery is about to be written

Cause: a client's close is known only once its session's reader has had the processor. That the reader comes late was read from the code; the test forces it.

Change: Gate.Begin asks the command's client first, by a look at its socket that does not wait, outside of the gate; one that has closed has left.

The subtest of TestClientGoesBeforeADelivery whose reader stands still after the close fails without it: the query is written. Passed with -race -count=5.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -625,7 +625,7 @@
 	s.mu.Unlock()
 	cmd, ok := s.gate.Take(gate.Ask{OpType: q.OpType, Customer: q.Customer, Key: q.Key, Came: s.came,
 		Wait: wait, Work: time.Duration(q.WorkUs) * time.Microsecond,
-		Write: q.Write, Repeated: q.Repeated})
+		Write: q.Write, Repeated: q.Repeated, Left: s.Left})
 	if !ok {
 		return false, s.wrong(pgwire.BadParameter, "unknown op type")
 	}
--- a/internal/clients/crossing_test.go
+++ b/internal/clients/crossing_test.go
@@ -1,6 +1,7 @@
 package clients
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 
 	"go.uber.org/goleak"
 
+	"silvercove/internal/gate"
 	"silvercove/internal/overload"
 	"silvercove/internal/pgwire"
 )
@@ -246,6 +248,28 @@
 			t.Errorf("the unit saw %d queries", n)
 		}
 	})
+	t.Run("held, and its reader has not had the processor since", func(t *testing.T) {
+		leavesNothing(t)
+		u := newScript(t)
+		came, goOn := make(chan struct{}), make(chan struct{})
+		address, f := relayTo(t, 64, "", 4*time.Second, 3, func(l net.Listener) net.Listener {
+			return &starved{l.(*net.TCPListener), came, goOn}
+		})
+		c := dial(t, address)
+		io.WriteString(c, string(pgwire.Hail())+query("07", "read"))
+		until(t, "it is held", func() bool { return f.gate.Snapshot().Open == 1 })
+		c.Close()
+		<-came // the close, and its reader stands still
+		goOnce := sync.OnceFunc(func() { close(goOn) })
+		t.Cleanup(goOnce)
+		f.gate.List(true, []gate.Host{{Name: "s-1", Dial: u.Addr().String(), State: "up", Nominal: 1, Build: 1}})
+		until(t, "its going is seen", func() bool { n := f.gate.Snapshot(); return n.Ops[0].Left == 1 && n.Out == 0 })
+		goOnce()
+		nothingOwed(t, f)
+		if n := len(u.queries()); n != 0 {
+			t.Errorf("the unit saw %d queries", n)
+		}
+	})
 	t.Run("between two attempts", func(t *testing.T) {
 		leavesNothing(t)
 		u := newScript(t)
@@ -516,3 +540,31 @@
 		t.Errorf("answered after %v, %d sessions", took, f.InUse())
 	}
 }
+
+// starved is a listener of connections whose reader, once the other side has closed, goes on only when it is told to.
+type starved struct {
+	*net.TCPListener
+	came, goOn chan struct{}
+}
+
+type starvedConn struct {
+	*net.TCPConn
+	of *starved
+}
+
+func (s *starved) Accept() (net.Conn, error) {
+	c, err := s.TCPListener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &starvedConn{c.(*net.TCPConn), s}, nil
+}
+
+func (c *starvedConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if errors.Is(err, io.EOF) {
+		close(c.of.came)
+		<-c.of.goOn
+	}
+	return n, err
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -217,6 +217,7 @@
 	Wait                  time.Duration // how long its client waits from then on
 	Work                  time.Duration // a guess, 0 for none
 	Write, Repeated       bool
+	Left                  func() bool // whether its client has closed, asked without the gate being held; nil: it says so itself
 }
 
 // Command is one command that was taken.
@@ -225,6 +226,7 @@
 	steps  chan Step // at most one delivery and one final answer are ever waiting
 	handed bool
 	left   bool // its client went before it was handed over
+	closed func() bool
 	op     int
 	key    string
 	from   string // its customer
@@ -260,6 +262,7 @@
 	Context context.Context
 	StopAt  time.Time
 	module  *choice.Delivery
+	of      *Command
 	cancel  context.CancelFunc
 	sent    time.Time
 	build   uint16 // of its unit then
@@ -274,7 +277,7 @@
 	if !ok {
 		return nil, false
 	}
-	return &Command{op: op, key: a.Key, from: a.Customer, steps: make(chan Step, 4), module: choice.Command{OpType: op,
+	return &Command{op: op, key: a.Key, from: a.Customer, closed: a.Left, steps: make(chan Step, 4), module: choice.Command{OpType: op,
 		Customer: g.number("customers", a.Customer), Key: keyOf(a.Key), NotAfter: g.tick(a.Came.Add(a.Wait)),
 		Work: choice.Tick((a.Work + tenth - 1) / tenth), Repeated: a.Repeated, Write: a.Write}}, true
 }
@@ -338,8 +341,13 @@
 }
 
 // Begin tells whether a delivery that is about to be written still may be: its client waits for it, its unit is where it
-// was chosen, and the module's rules hold as they stand now. It counts as sent from now on.
+// was chosen, and the module's rules hold as they stand now. It counts as sent from now on. A client whose close has come, but
+// whose session has not had the processor since, has gone too: news of the list send many held commands on at once.
 func (g *Gate) Begin(d *Delivery) bool {
+	if c := d.of; c != nil && c.closed != nil && c.closed() {
+		g.Leave(c)
+		return false
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return d.Context.Err() == nil && g.open[d.module.Cmd] != nil && g.byDoor[d.module.To.Door].place() == d.Unit &&
@@ -458,7 +466,7 @@
 	}
 	at := g.time(stopAt)
 	ctx, cancel := context.WithDeadline(context.Background(), at)
-	out := &Delivery{Unit: u.place(), Context: ctx, StopAt: at, module: d, cancel: cancel, sent: time.Now()}
+	out := &Delivery{Unit: u.place(), Context: ctx, StopAt: at, module: d, of: c, cancel: cancel, sent: time.Now()}
 	g.out[d] = out
 	u.out++
 	g.Counts.Delivered++
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -214,6 +214,13 @@
 	return !quiet
 }
 
+// Left tells whether the other side has closed or reset, as far as nothing that it sent before is unread; a reader may be
+// waiting meanwhile.
+func (l *Link) Left() bool {
+	n, quiet := l.peek()
+	return n <= 0 && !quiet
+}
+
 // Unasked tells whether bytes have come on an idle connection.
 func (l *Link) Unasked() bool {
 	n, _ := l.peek()
