Count each delivery once as it is written, and have the lab ask at each write

Asked twice, as after a connection that ended, it counted twice.

Measured: TestEachDeliveryCountsOnce fails with either half taken out.

--- a/choice/begin_test.go
+++ b/choice/begin_test.go
@@ -132,6 +132,35 @@
 	}
 }
 
+// TestEachDeliveryCountsOnce: the write of one takes no other's place in the counts, nor counts it twice.
+func TestEachDeliveryCountsOnce(t *testing.T) {
+	b := newBench(nil)
+	b.unit(1, 1, 0)
+	b.unit(2, 2, 0)
+	b.news(2, 0, OnTrial, 1)
+	b.pass(5 * Second)
+	trial := 0
+	for range 20 {
+		from := len(b.host.sent)
+		b.take(redeliverable) // both at the same moment
+		b.take(redeliverable)
+		for range 2 { // the second time as its connection was another
+			b.now++
+			for _, d := range b.host.sent[from:] {
+				check(t, "begins", b.Begin(b.now, d), true)
+			}
+		}
+		for _, d := range b.host.sent[from:] {
+			if d.build == 2 {
+				trial++
+			}
+			b.Outcome(b.now, d, Acked, 100, true, nil)
+		}
+		check(t, "sends that count", len(b.lane(redeliverable).sent), trial)
+	}
+	check(t, "both builds got some", trial > 0 && trial < 40, true)
+}
+
 // TestLateDialsStayWithinTheCap: where connections to the build on trial come up late while traffic falls, what is
 // written in any window stays within what the window's own commands allow.
 func TestLateDialsStayWithinTheCap(t *testing.T) {
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -202,12 +202,12 @@
 func (r *Relay) Begin(now Tick, d *Delivery) bool {
 	cmd, u, l, before := d.Cmd, d.To, r.lane(d.Cmd.OpType), *d.Cmd
 	r.now, before.deliveries = now, cmd.deliveries[:d.No]
-	l.sent, u.sends = without(l.sent, d.sent), without(u.sends, d.sent)
+	l.sent, u.sends = without(l.sent, d.counted, d.exposed), without(u.sends, d.counted, d.cold)
 	late, same := now > d.sent+sweepEvery/10, u.Start == d.since && u.Build == d.build
 	if cmd.answered || d.cancelled || now >= cmd.NotAfter || !same || !r.allowed(&before, u) {
 		return false
 	}
-	if late && (r.onTrial(u.Build) && !r.exposable(cmd, l, u.Build) || u.coldFrom != d.sent && !r.coldRoom(u)) {
+	if late && (r.onTrial(u.Build) && !r.exposable(cmd, l, u.Build) || u.coldFrom != d.counted && !r.coldRoom(u)) {
 		return false
 	}
 	r.written(d)
@@ -216,10 +216,11 @@
 
 // written counts a delivery as of now towards exposure and the cold budget.
 func (r *Relay) written(d *Delivery) {
-	if l := r.lane(d.Cmd.OpType); r.onTrial(d.build) {
+	d.counted, d.exposed, d.cold = r.now, r.onTrial(d.build), r.warmth(d.To) < 1
+	if l := r.lane(d.Cmd.OpType); d.exposed {
 		l.sent = append(l.sent, r.now)
 	}
-	if u := d.To; r.warmth(u) < 1 {
+	if u := d.To; d.cold {
 		u.sends, u.coldFrom, u.coldDue = append(u.sends, r.now), r.now, 1
 	}
 }
@@ -229,8 +230,7 @@
 		(!cmd.Tied || r.now < cmd.deliveries[n-1].sent+sweepEvery<<n) {
 		return false // a tied one has no other unit: again after a pause that doubles
 	}
-	if r.doubted(u) && !r.alone {
-		// A trickle of commands that can be tried again tells whether it has come back.
+	if r.doubted(u) && !r.alone { // a trickle of what can be tried again tells whether it has come back
 		return r.now >= u.nextTry && u.inFlight < 2 && r.word2(cmd, "repeats") != "at_most_once" && r.coldRoom(u)
 	}
 	return float64(u.inFlight) < r.room(u) && r.coldRoom(u)
--- a/choice/help.go
+++ b/choice/help.go
@@ -62,9 +62,9 @@
 	return 0
 }
 
-// without takes one time out of a list in order, if it is there.
-func without(times []Tick, at Tick) []Tick {
-	if i, has := slices.BinarySearch(times, at); has {
+// without takes one time out of a list in order, if it was counted there and still is.
+func without(times []Tick, at Tick, counted bool) []Tick {
+	if i, has := slices.BinarySearch(times, at); has && counted {
 		return slices.Delete(times, i, i+1)
 	}
 	return times
--- a/choice/host.go
+++ b/choice/host.go
@@ -107,6 +107,9 @@
 	To  *Unit
 
 	sent      Tick
+	counted   Tick // when it last was, towards exposure and the cold budget
+	exposed   bool // by the first
+	cold      bool // and by the second
 	due       Tick // when it counts as slow for the build
 	late      Tick // and for its unit
 	build     uint16
--- a/internal/lab/days.go
+++ b/internal/lab/days.go
@@ -285,6 +285,9 @@
 	if told := n.told[d.To.Door]; told > 0 && f.now > told+ticksOf(1) {
 		f.broken("a delivery at a drained unit")
 	}
+	if !n.Begin(f.now, d) {
+		f.broken("a delivery that may not be written at once")
+	}
 	drawn := 0.5 + f.rand.ExpFloat64()
 	if u.Start > 0 && f.now < u.Start+ticksOf(cold) && !u.fell {
 		f.result.Colds++
--- a/internal/lab/model.go
+++ b/internal/lab/model.go
@@ -430,6 +430,9 @@
 func (n *node) Deliver(d *choice.Delivery, stopAt choice.Tick) {
 	u := n.model.units[d.To.Door]
 	n.out[d] = true
+	if !n.relay.Begin(n.now, d) {
+		n.result.Broken++ // written at once it always may be
+	}
 	n.expose(u)
 	life, own, build := u.life, n.life, u.build
 	p, of := n.builds[build]
