Pass a whole answer on without waiting for the unit's word that it is ready

Cause: behind a whole row the pools waited for ReadyForQuery for as long as a connection may take to come up; a unit that hung there kept the answer from its client for that long, past its time where the limit is long.

Change: the wait is the 25 ms in which a connection settles; without the word the connection is closed, as before. A test has the client leave between the choice of a second attempt and its write.

--- a/internal/units/crossing_test.go
+++ b/internal/units/crossing_test.go
@@ -531,3 +531,50 @@
 		t.Errorf("%d effects; %v", s.effects(), ways)
 	}
 }
+
+// TestAnswerWithoutTheWordThatItIsReady: an answer that is whole is not kept from its client by a unit that hangs behind it.
+func TestAnswerWithoutTheWordThatItIsReady(t *testing.T) {
+	nothingLeft(t)
+	s := scriptOf(t, func(s *script, _ int, c *net.TCPConn) {
+		s.hail(c)
+		if _, ok := s.query(c); ok {
+			c.Write(row("v")[:len(row("v"))-len(pgwire.Ready())])
+			s.startup(c) // until its end
+		}
+	})
+	h := patient(t, nil, s.dial)
+	began := time.Now()
+	got := h.begin("sell", "k", patience, nil)
+	if took := time.Since(began); got.value != "v" || took > patience/2 {
+		t.Errorf("%+v after %v", got, took)
+	}
+	if open, _ := h.InUse(); open != 0 {
+		t.Errorf("%d connections are kept", open)
+	}
+}
+
+// TestClientLeavesBetweenAttempts: a second attempt that is chosen as its client leaves is not sent.
+func TestClientLeavesBetweenAttempts(t *testing.T) {
+	for _, cancels := range []bool{true, false} {
+		t.Run(fmt.Sprint("may cancel ", cancels), func(t *testing.T) {
+			nothingLeft(t)
+			var first sync.Once
+			do := func(s *script, _ int, c *net.TCPConn) {
+				s.hail(c)
+				first.Do(func() { s.query(c); kill(c) })
+				s.serve(c)
+			}
+			a, b := scriptOf(t, do), scriptOf(t, do)
+			h := patient(t, map[string]any{"limits.may_cancel": cancels}, a.dial, b.dial)
+			tries := 0
+			got := h.begin("read", "k", patience, func(cmd *gate.Command, _ *gate.Delivery) {
+				if tries++; tries == 2 {
+					h.gate.Leave(cmd)
+				}
+			})
+			if got.final != gate.Gone || len(got.ends) != 2 || got.ends[1] != choice.Moot || a.effects()+b.effects() != 1 {
+				t.Errorf("%+v, %d effects", got, a.effects()+b.effects())
+			}
+		})
+	}
+}
--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -105,7 +105,7 @@
 const rowParts = 3
 
 // read reads one answer to its end. A row or an error counts from when it is whole; the unit then
-// has the time of a new connection to say that it is ready for more.
+// has the time in which a connection settles to say that it is ready for more, as the client waits meanwhile.
 func (p *Pools) read(c *conn) Reply {
 	var a pgwire.Answer
 	for {
@@ -118,7 +118,7 @@
 			return p.reply(c, &a, a.Ready)
 		} else {
 			if a.State != "" {
-				c.Until(time.Now().Add(p.connect))
+				c.Until(time.Now().Add(min(p.connect, settle)))
 			}
 			end = c.Fill(a.Need(c.Bytes()))
 		}
