Answer what the kernel has accepted before the listener closes

A listener that is closed resets what the kernel had accepted for it and the front had not taken in: queries may have come there whole, and such a client finds its new connection closed with no answer.

TestAcceptedByTheKernel (20 clients that wrote before, taken in behind the deadline) fails without it: nobody is answered.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -77,15 +77,26 @@
 	return f
 }
 
-// Serve takes in connections until the listener is closed or its deadline passes, and waits for all
-// sessions.
+// lastLook is how long a listener whose deadline has passed is asked for what the kernel has accepted by then.
+const lastLook = 50 * time.Millisecond
+
+// Serve takes in connections until the listener is closed or its deadline passes, and waits for all sessions. At the
+// deadline what the kernel has accepted is still taken in: a closed listener resets it, and requests may have come there.
 func (f *Front) Serve(listener net.Listener) error {
 	var group errgroup.Group
 	defer group.Wait()
+	var last time.Time // when the deadline has passed, to the end of the looks
 	for {
 		conn, err := listener.Accept()
-		switch {
-		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
+		switch l, ok := listener.(interface{ SetDeadline(time.Time) error }); {
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case errors.Is(err, os.ErrDeadlineExceeded) && ok && last.IsZero():
+			last = time.Now().Add(f.parts.Brief)
+			l.SetDeadline(time.Now().Add(lastLook)) // past its deadline it would not be looked
+			continue
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			listener.Close()
 			return nil
 		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ENOBUFS),
 			errors.Is(err, syscall.ENOMEM):
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -471,6 +471,23 @@
 	}
 }
 
+// TestAfterTheEnd: a command that comes when SIGKILL may be there already is answered at once.
+func TestAfterTheEnd(t *testing.T) {
+	address, u, f := relay(t, 16, row+string(pgwire.Ready()))
+	c := dial(t, address)
+	io.WriteString(c, string(pgwire.Hail())+message('Q', asks+"\x00"))
+	want(t, c, string(pgwire.Hello())+row+string(pgwire.Ready()))
+	f.Stop(time.Now().Add(-time.Second))
+	began := time.Now()
+	io.WriteString(c, message('Q', other+"\x00"))
+	if state := answer(t, c); state != pgwire.NoRoom {
+		t.Errorf("answered %s", state)
+	}
+	if took, n := time.Since(began), u.questions.Load(); took > 100*time.Millisecond || n != 1 {
+		t.Errorf("answered after %v, %d effects", took, n)
+	}
+}
+
 // exhausted is a listener that has an error for a while.
 type exhausted struct {
 	net.Listener
--- a/internal/clients/crossing_test.go
+++ b/internal/clients/crossing_test.go
@@ -299,6 +299,44 @@
 	return h.TCPListener.Accept()
 }
 
+// TestAcceptedByTheKernel: what came before the listener's end and was not taken in by then is answered.
+func TestAcceptedByTheKernel(t *testing.T) {
+	leavesNothing(t)
+	u := newScript(t)
+	u.answer = func(int) string { return whole }
+	goOn := make(chan struct{})
+	var l *held
+	address, f := relayTo(t, 64, u.Addr().String(), 4*time.Second, 3, func(plain net.Listener) net.Listener {
+		l = &held{TCPListener: plain.(*net.TCPListener), until: goOn}
+		return l
+	})
+	const many = 20
+	var all [many]net.Conn
+	for i := range all {
+		all[i] = dial(t, address)
+		io.WriteString(all[i], string(pgwire.Hail())+query(fmt.Sprint("a", i), "read"))
+	}
+	f.Wind()
+	l.SetDeadline(time.Now())
+	close(goOn)
+	for _, c := range all {
+		want(t, c, string(pgwire.Hello()))
+		if state := answer(t, c); state != pgwire.Complete && state != pgwire.NoRoom {
+			t.Errorf("answered %s", state)
+		}
+		if b, err := io.ReadAll(c); err != nil || len(b) > 0 {
+			t.Errorf("then it got %q, %v", b, err)
+		}
+	}
+	until(t, "it takes no more", func() bool {
+		c, err := net.Dial("tcp", address)
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+}
+
 // TestMalformedBehindOthers: what is answered at once waits for its turn, without holding up what comes behind it.
 func TestMalformedBehindOthers(t *testing.T) {
 	leavesNothing(t)
@@ -443,7 +481,7 @@
 	c := dial(t, address)
 	io.WriteString(c, string(pgwire.Hail()[:9]))
 	until(t, "it is in", func() bool { return f.InUse() == 1 })
-	time.Sleep(overload.Shares(64).Brief + 50*time.Millisecond) // its moment is over
+	time.Sleep(overload.Shares(64).Brief + lastLook) // its moment is over
 	f.Wind()
 	io.WriteString(c, string(pgwire.Hail()[9:]))
 	want(t, c, string(pgwire.Hello()))
@@ -483,7 +521,7 @@
 	c := dial(t, address)
 	io.WriteString(c, string(pgwire.Hail())+query("07", "read"))
 	want(t, c, string(pgwire.Hello())+whole)
-	time.Sleep(overload.Shares(8).Brief + 50*time.Millisecond)
+	time.Sleep(overload.Shares(8).Brief + lastLook)
 	io.WriteString(c, query("08", "read")[:20])
 	until(t, "its command has begun", func() bool {
 		f.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -118,7 +118,7 @@
 	})
 	group.Go(func() error {
 		var next <-chan time.Time
-		steps := []func(){r.front.Wind, func() { listener.Close() }}
+		steps := []func(){r.front.Wind, func() { listener.(*net.TCPListener).SetDeadline(time.Now()) }}
 		for stopping := false; ; {
 			select {
 			case s := <-signals:
