Cross a session that gives way with its query, and a held command's end with a new unit

TestCrossing also plays a session that has to give way to another as its query arrives; a command that was held when its client left is not delivered when a unit is listed behind that.

--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -340,8 +340,23 @@
 	}
 }
 
-// TestCrossing: a command whose last byte comes as its idle session is to end is answered first.
+// TestCrossing: a command whose last byte comes as its idle session is to end is answered first, be it at the end of all
+// sessions or because another needs the place.
 func TestCrossing(t *testing.T) {
+	t.Run("end of all", func(t *testing.T) { crosses(t, (*Front).Wind) })
+	t.Run("gives way", func(t *testing.T) {
+		crosses(t, func(f *Front) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if !f.yield() {
+				t.Error("it does not give way")
+			}
+		})
+	})
+}
+
+func crosses(t *testing.T, end func(f *Front)) {
+	t.Helper()
 	var client net.Conn
 	var once sync.Once
 	late := func(c *net.TCPConn) {
@@ -364,7 +379,7 @@
 	for f.unsettled() {
 		time.Sleep(time.Millisecond)
 	}
-	f.Wind()
+	end(f)
 	want(t, client, row+string(pgwire.Ready()))
 	if b, err := io.ReadAll(client); err != nil || len(b) > 0 {
 		t.Errorf("then it got %q, %v", b, err)
--- a/internal/clients/crossing_test.go
+++ b/internal/clients/crossing_test.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/goleak"
 
+	"silvercove/internal/gate"
 	"silvercove/internal/overload"
 	"silvercove/internal/pgwire"
 )
@@ -225,6 +226,7 @@
 		until(t, "it is held", func() bool { return f.gate.Snapshot().Open == 1 })
 		c.Close()
 		nothingOwed(t, f)
+		f.gate.List(true, []gate.Host{{Name: "s-1", Dial: u.Addr().String(), State: "up", Build: 1}})
 		if n := f.gate.Snapshot(); n.Ops[0].Left != 1 || n.Delivered != 0 || len(u.queries()) != 0 {
 			t.Errorf("%+v", n)
 		}
