Close a session only once its last answer is with its client

A client that is still reading an answer, and writes its next query as the session ends, has its connection reset: what the kernel had not sent by then was lost.

A session that is through waits until the kernel tells that nothing of it is unsent or unacknowledged, or that its client has closed, for as long as a client may read an answer. It reads nothing meanwhile: a query that crosses has no effect, and its client sends it again.

TestQueryCrossesTheClose fails without it (its session has ended with the answer on the way).

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -307,6 +307,18 @@
 	s.commands.Wait()
 	s.StopReading()
 	watch.Wait()
+	s.settle()
+}
+
+// settle waits until the last answer is with its client, as long as that may take to read it. What a client writes to a
+// connection that is closed resets it, and what is still on its way is lost.
+func (s *session) settle() {
+	const look = 2 * time.Millisecond
+	for end := time.Now().Add(s.limit); !s.Delivered() && time.Now().Before(end); time.Sleep(look) {
+		if _, closed := s.Heard(); closed {
+			return
+		}
+	}
 }
 
 // greet takes the startup, within the time limit.
--- a/internal/clients/crossing_test.go
+++ b/internal/clients/crossing_test.go
@@ -339,6 +339,40 @@
 	})
 }
 
+// TestQueryCrossesTheClose: at the end of all sessions a client that is still reading its answer sends the next query: the
+// answer comes whole, and the query, which is not read, has no effect.
+func TestQueryCrossesTheClose(t *testing.T) {
+	leavesNothing(t)
+	u := newScript(t)
+	large := string(pgwire.Row([]byte(strings.Repeat("v", pgwire.MostValue)), "SELECT 1"))
+	goOn := make(chan struct{})
+	u.answer = func(int) string {
+		<-goOn
+		return large
+	}
+	address, f := relayTo(t, 64, u.Addr().String(), 4*time.Second, 3, func(l net.Listener) net.Listener { return l })
+	c := dial(t, address)
+	c.(*net.TCPConn).SetReadBuffer(4 << 10)
+	io.WriteString(c, string(pgwire.Hail())+query("01", "read"))
+	until(t, "the unit has it", func() bool { return len(u.queries()) == 1 })
+	f.Wind()
+	close(goOn)
+	until(t, "it is written", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.ids) == 0 && f.gate.Snapshot().Ops[0].Acked == 1
+	})
+	stays(t, f) // while its answer is on the way
+	io.WriteString(c, query("02", "read"))
+	want(t, c, string(pgwire.Hello())+large)
+	if b, _ := io.ReadAll(c); len(b) > 0 {
+		t.Errorf("then it got %q", b)
+	}
+	if n := len(u.queries()); n != 1 {
+		t.Errorf("%d effects", n)
+	}
+}
+
 // TestMalformedBehindOthers: what is answered at once waits for its turn, without holding up what comes behind it.
 func TestMalformedBehindOthers(t *testing.T) {
 	leavesNothing(t)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -191,18 +191,32 @@
 // Heard tells how long ago the last bytes came, read by now or not, which shows what this process slept through; and
 // whether the other side has closed, be it behind bytes that are still to be read.
 func (l *Link) Heard() (ago time.Duration, closed bool) {
+	if info := l.info(); info != nil {
+		ago = time.Duration(info.Last_data_recv) * time.Millisecond
+		up := info.State == unix.BPF_TCP_ESTABLISHED
+		// A kernel that tells no states tells the same one all the time.
+		closed = info.State == unix.BPF_TCP_CLOSE_WAIT || l.up && !up
+		l.up = l.up || up
+	}
+	return ago, closed
+}
+
+// Delivered tells whether all that was written has come to the other side's machine.
+func (l *Link) Delivered() bool {
+	info := l.info()
+	return info == nil || info.Unacked == 0 && info.Notsent_bytes == 0
+}
+
+// info is what the kernel tells of the connection, nil for nothing.
+func (l *Link) info() (info *unix.TCPInfo) {
 	if raw, err := l.conn.(syscall.Conn).SyscallConn(); err == nil {
 		raw.Control(func(fd uintptr) {
-			if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-				ago = time.Duration(info.Last_data_recv) * time.Millisecond
-				up := info.State == unix.BPF_TCP_ESTABLISHED
-				// A kernel that tells no states tells the same one all the time.
-				closed = info.State == unix.BPF_TCP_CLOSE_WAIT || l.up && !up
-				l.up = l.up || up
+			if i, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+				info = i
 			}
 		})
 	}
-	return ago, closed
+	return info
 }
 
 // Quiet tells whether an idle connection is still up and nothing has come on it unasked.
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -158,6 +158,11 @@
 	if !l.Quiet() {
 		t.Error("it is not quiet")
 	}
+	for end := time.Now().Add(5 * time.Second); !l.Delivered(); {
+		if time.Now().After(end) {
+			t.Fatal("what came is not said to be delivered")
+		}
+	}
 	other.Write([]byte("x"))
 	for end := time.Now().Add(5 * time.Second); !l.Pending(); {
 		if time.Now().After(end) {
