--- a/internal/clients/crossing_test.go
+++ b/internal/clients/crossing_test.go
@@ -227,6 +227,7 @@
 		until(t, "it is held", func() bool { return f.gate.Snapshot().Open == 1 })
 		c.Close()
 		nothingOwed(t, f)
+		f.gate.List(true, []gate.Host{{Name: "s-1", Dial: u.Addr().String(), State: "up", Build: 1}})
 		if n := f.gate.Snapshot(); n.Ops[0].Left != 1 || n.Delivered != 0 || len(u.queries()) != 0 {
 			t.Errorf("%+v", n)
 		}
@@ -323,6 +324,78 @@
 	return h.TCPListener.Accept()
 }
 
+// TestAcceptedByTheKernel: what came before the listener's end and was not taken in by then is answered.
+func TestAcceptedByTheKernel(t *testing.T) {
+	leavesNothing(t)
+	u := newScript(t)
+	u.answer = func(int) string { return whole }
+	goOn := make(chan struct{})
+	var l *held
+	address, f := relayTo(t, 64, u.Addr().String(), 4*time.Second, 3, func(plain net.Listener) net.Listener {
+		l = &held{TCPListener: plain.(*net.TCPListener), until: goOn}
+		return l
+	})
+	const many = 20
+	var all [many]net.Conn
+	for i := range all {
+		all[i] = dial(t, address)
+		io.WriteString(all[i], string(pgwire.Hail())+query(fmt.Sprint("a", i), "read"))
+	}
+	f.Wind()
+	l.SetDeadline(time.Now())
+	close(goOn)
+	for _, c := range all {
+		want(t, c, string(pgwire.Hello()))
+		if state := answer(t, c); state != pgwire.Complete && state != pgwire.NoRoom {
+			t.Errorf("answered %s", state)
+		}
+		if b, err := io.ReadAll(c); err != nil || len(b) > 0 {
+			t.Errorf("then it got %q, %v", b, err)
+		}
+	}
+	until(t, "it takes no more", func() bool {
+		c, err := net.Dial("tcp", address)
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+}
+
+// TestQueryCrossesTheClose: at the end of all sessions a client that is still reading its answer sends the next query: the
+// answer comes whole, and the query, which is not read, has no effect.
+func TestQueryCrossesTheClose(t *testing.T) {
+	leavesNothing(t)
+	u := newScript(t)
+	large := string(pgwire.Row([]byte(strings.Repeat("v", pgwire.MostValue)), "SELECT 1"))
+	goOn := make(chan struct{})
+	u.answer = func(int) string {
+		<-goOn
+		return large
+	}
+	address, f := relayTo(t, 64, u.Addr().String(), 4*time.Second, 3, func(l net.Listener) net.Listener { return l })
+	c := dial(t, address)
+	c.(*net.TCPConn).SetReadBuffer(4 << 10)
+	io.WriteString(c, string(pgwire.Hail())+query("01", "read"))
+	until(t, "the unit has it", func() bool { return len(u.queries()) == 1 })
+	f.Wind()
+	close(goOn)
+	until(t, "it is written", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.ids) == 0 && f.gate.Snapshot().Ops[0].Acked == 1
+	})
+	stays(t, f) // while its answer is on the way
+	io.WriteString(c, query("02", "read"))
+	want(t, c, string(pgwire.Hello())+large)
+	if b, _ := io.ReadAll(c); len(b) > 0 {
+		t.Errorf("then it got %q", b)
+	}
+	if n := len(u.queries()); n != 1 {
+		t.Errorf("%d effects", n)
+	}
+}
+
 // TestMalformedBehindOthers: what is answered at once waits for its turn, without holding up what comes behind it.
 func TestMalformedBehindOthers(t *testing.T) {
 	leavesNothing(t)
@@ -467,7 +540,7 @@
 	c := dial(t, address)
 	io.WriteString(c, string(pgwire.Hail()[:9]))
 	until(t, "it is in", func() bool { return f.InUse() == 1 })
-	time.Sleep(overload.Shares(64).Brief + 50*time.Millisecond) // its moment is over
+	time.Sleep(overload.Shares(64).Brief + lastLook) // its moment is over
 	f.Wind()
 	io.WriteString(c, string(pgwire.Hail()[9:]))
 	want(t, c, string(pgwire.Hello()))
@@ -507,7 +580,7 @@
 	c := dial(t, address)
 	io.WriteString(c, string(pgwire.Hail())+query("07", "read"))
 	want(t, c, string(pgwire.Hello())+whole)
-	time.Sleep(overload.Shares(8).Brief + 50*time.Millisecond)
+	time.Sleep(overload.Shares(8).Brief + lastLook)
 	io.WriteString(c, query("08", "read")[:20])
 	until(t, "its command has begun", func() bool {
 		f.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -162,7 +162,7 @@
 		}
 	}()
 	var next <-chan time.Time
-	steps := []func(){r.front.Wind, func() { listener.Close() }}
+	steps := []func(){r.front.Wind, func() { listener.(*net.TCPListener).SetDeadline(time.Now()) }}
 	for stopping := false; ; {
 		select {
 		case listener = <-listening:
