End the stream of changes on a move that comes between two of them

By reading: after each read the stream set a new time limit, which took the place of the one that calls it off. A SIGHUP or the relay's end that came while a change was being taken was lost: the stream stayed at the old platform as long as that gave signs of life, and the relay did not end. Single bytes put the limit off too, for 64 KiB of them, and a call that may take long (rollout.vote_wait) made silence as long and the pause after a cut an eighth of it. The limit now starts anew with whole lines alone and is 4 s at the most, the pause half a second, and the end is looked at before each read.

Each was seen to fail with its lines taken out: TestMoveBetweenTwoChanges (the stream stays, the relay does not end in 10 s), TestStreamTrickles (three ways, not opened again in 10 s). Ruled out by TestVoteAmidAMove: a vote under way as the platform moves is answered once, the next one is cast at the new place. go test -race ./internal/platform passes.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -20,6 +20,7 @@
 const (
 	mostLine = 64 << 10
 	signs    = 2 * time.Second // without a line: a sign of life comes every second
+	most     = 2 * signs       // however long a call may take
 )
 
 // state is where the newest build stands.
@@ -149,32 +150,29 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		address, here, release := d.place.Now(ctx)
-		end := d.stream(here, address)
-		moved := here.Err() != nil
-		release()
-		if moved || ctx.Err() != nil {
-			continue
-		}
-		d.log(fmt.Sprintf("platform: changes cut: %s", end.How))
-		select {
-		case <-time.After(d.limit/8 - time.Since(began)):
-		case <-ctx.Done():
+		silent := min(max(d.limit, signs), most)
+		end := d.stream(here, address, silent)
+		if here.Err() == nil { // it has not moved
+			d.log(fmt.Sprintf("platform: changes cut: %s", end.How))
+			select {
+			case <-time.After(min(d.limit, silent)/8 - time.Since(began)):
+			case <-here.Done():
+			}
 		}
+		release()
 	}
 	return nil
 }
 
-// stream reads changes until the connection ends or gives no sign of life for as long as a call may take, and as two
-// signs take: one comes every second.
-func (d *Desk) stream(ctx context.Context, address string) link.End {
-	l, end := link.Dial(ctx, address, d.limit, d.room)
+// stream reads changes until the connection ends, is called off, or gives no sign of life for so long: no whole line.
+func (d *Desk) stream(ctx context.Context, address string, silent time.Duration) link.End {
+	l, end := link.Dial(ctx, address, min(d.limit, silent), d.room)
 	if end.Over() {
 		return end
 	}
 	defer l.Close()
 	d.Streams.Add(1)
 	l.Within(ctx)
-	silent := max(d.limit, signs)
 	l.Until(time.Now().Add(silent))
 	l.Put(http1.Request("GET", "/changes", address, ""))
 	if end := l.Flush(); end.Over() {
@@ -199,6 +197,7 @@
 				return link.End{How: link.Malformed, Sent: true}
 			}
 			lines = rest
+			l.Until(time.Now().Add(silent)) // bytes alone are no sign of life
 		}
 		if len(lines) == 0 {
 			lines = nil
@@ -206,10 +205,12 @@
 		if a.Done {
 			return link.End{How: link.Closed, Sent: true}
 		}
+		if ctx.Err() != nil { // the new time limit has taken the place of the one that calls off
+			return link.End{How: link.CalledOff, Sent: true}
+		}
 		if end := l.Fill(0); end.Over() {
 			return end
 		}
-		l.Until(time.Now().Add(silent))
 	}
 }
 
