--- a/internal/units/units.go
+++ b/internal/units/units.go
@@ -339,7 +339,7 @@
 
 // Run closes connections ahead of the units' own idle limit until the context ends, then all.
 func (p *Pools) Run(ctx context.Context) error {
-	beat := time.NewTicker(max(p.rest/16, 50*time.Millisecond)) // an idle relay costs nothing; open minds the limit itself
+	beat := time.NewTicker(p.every())
 	defer beat.Stop()
 	for {
 		select {
@@ -354,6 +354,10 @@
 	}
 }
 
+// every is how often idle connections are looked through. Where the units' limit is absent or next to nothing an idle
+// relay would do nothing else; open minds the limit itself.
+func (p *Pools) every() time.Duration { return max(p.rest/16, 50*time.Millisecond) }
+
 func (p *Pools) sweep(now time.Time) {
 	var old []*conn
 	p.mu.Lock()
--- /dev/null
+++ b/internal/units/warm_test.go
@@ -0,0 +1,57 @@
+package units
+
+import (
+	"context"
+	"io"
+	"math"
+	"net"
+	"testing"
+	"time"
+
+	"silvercove/internal/gate"
+	"silvercove/internal/link"
+	"silvercove/internal/standin/fleet"
+)
+
+// TestWarmEndsWithItsContext: units that never come up hold a start no longer than it may last, nor do places that are
+// all taken; no connection is left.
+func TestWarmEndsWithItsContext(t *testing.T) {
+	dial := scripted(t, func(c net.Conn) { io.Copy(io.Discard, c) })
+	h := newHouse(t, 8, time.Minute, dial)
+	p := New(h.room, 8, time.Hour, time.Minute, h.gate)
+	for _, taken := range []int{0, 8} {
+		for range taken {
+			p.slots <- struct{}{}
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		over := make(chan struct{})
+		go func() {
+			defer close(over)
+			p.Warm(ctx, h.gate.Ready(), 1)
+		}()
+		if taken == 0 {
+			fleet.Until(t, "it connects", func() bool { return p.Opened.Load() == 4 })
+		}
+		cancel()
+		select {
+		case <-over:
+		case <-time.After(5 * time.Second):
+			t.Fatalf("it goes on, %d places taken before", taken)
+		}
+		if open, idle := p.InUse(); open != taken || idle != 0 {
+			t.Errorf("%d open, %d idle", open, idle)
+		}
+	}
+}
+
+// TestIdlePoolsRest: whatever the units' idle limit, idle connections are looked through 20 times a second at the most.
+func TestIdlePoolsRest(t *testing.T) {
+	g := gate.New(1, map[string]any{"op_types": []map[string]any{{"name": "a"}}},
+		gate.Hands{Log: func(string) {}, CloseIdle: func(string) {}, Watch: func(bool) {}})
+	for _, rest := range []time.Duration{math.MinInt64, -1, 0, 1, time.Millisecond, time.Second, time.Hour, math.MaxInt64} {
+		p := New(link.NewRoom(1), 1, time.Second, rest, g)
+		if every := p.every(); every < 50*time.Millisecond || every > max(rest/8, 50*time.Millisecond) {
+			t.Errorf("%v: every %v", rest, every)
+		}
+	}
+}
