--- a/internal/relay/list_crossing_test.go
+++ b/internal/relay/list_crossing_test.go
@@ -19,8 +19,8 @@
 	"silvercove/internal/standin/fleet"
 )
 
-// script is discovery and the platform in one. A watch waits until the test tells something newer.
-type script struct {
+// agentScript is discovery and the platform in one. A watch waits until the test tells something newer.
+type agentScript struct {
 	*httptest.Server
 	mu      sync.Mutex
 	seq     int
@@ -31,9 +31,9 @@
 	silent  bool
 }
 
-func newScript(t *testing.T, entries ...string) *script {
+func newAgentScript(t *testing.T, entries ...string) *agentScript {
 	t.Helper()
-	s := &script{seq: 3, all: entries, changed: make(chan struct{})}
+	s := &agentScript{seq: 3, all: entries, changed: make(chan struct{})}
 	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		if req.URL.Path == "/changes" {
 			fmt.Fprintf(w, `{"type":"stage","object":%s}`+"\n", stage)
@@ -65,11 +65,11 @@
 	return s
 }
 
-// desk is the script's address as started wants it.
-func (s *script) desk() *desk { return &desk{Listener: s.Listener} }
+// desk is the agentScript's address as started wants it.
+func (s *agentScript) desk() *desk { return &desk{Listener: s.Listener} }
 
 // tell tells a watch the next version, and waits until the relay has taken it: it asks what comes after.
-func (s *script) tell(t *testing.T, whole bool, entries ...string) {
+func (s *agentScript) tell(t *testing.T, whole bool, entries ...string) {
 	t.Helper()
 	s.mu.Lock()
 	s.seq++
@@ -85,7 +85,7 @@
 	s.taken(t)
 }
 
-func (s *script) taken(t *testing.T) {
+func (s *agentScript) taken(t *testing.T) {
 	t.Helper()
 	fleet.Until(t, "the list is taken", func() bool {
 		s.mu.Lock()
@@ -177,8 +177,8 @@
 	return len(all)
 }
 
-// listed starts a relay that knows what the script has.
-func listed(t *testing.T, s *script) (replace func(string), listen string, done func()) {
+// listed starts a relay that knows what the agentScript has.
+func listed(t *testing.T, s *agentScript) (replace func(string), listen string, done func()) {
 	t.Helper()
 	before, descriptors := goleak.IgnoreCurrent(), open(t)
 	replace, listen, ended := startedWith(t, s.desk(), s.desk(), page(3, true, s.all...))
@@ -190,7 +190,7 @@
 func TestWholeListLeavesOutAUnitAtWork(t *testing.T) {
 	first, second := newWorker(t, "s-1"), newWorker(t, "s-2")
 	second.letGo()
-	s := newScript(t, first.entry("up"))
+	s := newAgentScript(t, first.entry("up"))
 	_, listen, done := listed(t, s)
 	atWork := send(listen, "first")
 	fleet.Until(t, "it is at work", func() bool { return first.queries.Load() == 1 })
@@ -211,7 +211,7 @@
 // in its time and never sent; with the next list all goes on.
 func TestWholeListIsEmpty(t *testing.T) {
 	u := newWorker(t, "s-1")
-	s := newScript(t, u.entry("up"))
+	s := newAgentScript(t, u.entry("up"))
 	_, listen, done := listed(t, s)
 	atWork := send(listen, "first")
 	fleet.Until(t, "it is at work", func() bool { return u.queries.Load() == 1 })
@@ -236,8 +236,8 @@
 	first, second, third := newWorker(t, "s-1"), newWorker(t, "s-2"), newWorker(t, "s-3")
 	second.letGo()
 	third.letGo()
-	s := newScript(t, first.entry("up"))
-	next := newScript(t, first.entry("draining"), second.entry("draining"), third.entry("up"))
+	s := newAgentScript(t, first.entry("up"))
+	next := newAgentScript(t, first.entry("draining"), second.entry("draining"), third.entry("up"))
 	next.seq = 2
 	replace, listen, done := listed(t, s)
 	atWork := send(listen, "first")
--- a/internal/relay/start_test.go
+++ b/internal/relay/start_test.go
@@ -63,8 +63,8 @@
 	return d
 }
 
-// whole tells whether the goroutines of a relay have ended; those of stand-ins that were there before are left out.
-func whole(t *testing.T, before goleak.Option) {
+// endedWhole tells whether the goroutines of a relay have ended; those of stand-ins that were there before are left out.
+func endedWhole(t *testing.T, before goleak.Option) {
 	t.Helper()
 	if err := goleak.Find(before, goleak.IgnoreAnyFunction("silvercove/internal/relay.(*desk).serve"),
 		goleak.IgnoreAnyFunction("os/signal.loop")); err != nil {
@@ -96,7 +96,7 @@
 			}
 			kill(t, os.Getpid(), syscall.SIGTERM)
 			over(t, ended)
-			whole(t, before)
+			endedWhole(t, before)
 		})
 	}
 }
@@ -120,7 +120,7 @@
 		}
 		kill(t, os.Getpid(), syscall.SIGTERM)
 		over(t, ended)
-		whole(t, before)
+		endedWhole(t, before)
 	})
 	for _, c := range []struct {
 		name string
@@ -144,7 +144,7 @@
 			if _, err := net.Dial("tcp", listen); err == nil {
 				t.Error("it listens")
 			}
-			whole(t, before)
+			endedWhole(t, before)
 		})
 	}
 }
@@ -166,5 +166,5 @@
 	if err := Run(told, os.Getenv); err == nil || !strings.Contains(err.Error(), "address already in use") {
 		t.Errorf("%v", err)
 	}
-	whole(t, before)
+	endedWhole(t, before)
 }
