Try what seems hopeless after 1.5 s without an answer, so that none is turned away for 4 s

Cause: a command whose client waits for less than answers take is nacked as it comes, but for one after 4 s without an answer of its op type (hopeless). With one op type, ten such commands a second and answers after 0.7 s, 4.8 s passed without an attempt (TestNotAllIsTurnedAway, in simulated time).

TestNotAllIsTurnedAway: 4.8 s before, under 3 s now. go test ./choice: ok.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -46,24 +46,25 @@
 	keptUnit    = 16   // and of a unit
 	mostForward = 3    // builds whose answered keys are kept: the newest, one that is not announced yet, one to spare
 	sweepEvery  = 50 * Second / 1000
-	roomPart    = 0.15        // of a service target: what a unit may owe
-	quiet       = 0.6         // of a service target: how long a unit may stay silent
-	coldPart    = 0.85        // of what the cold rule allows
-	coldSpread  = 3           // deviations of chance left free in it
-	coldFree    = 1           // that no unit falls under in a window, whatever it can do: the rule has a slack of 2
-	nearLeast   = 5           // units that a relay chooses from
-	demoted     = 0.25        // failure share of a unit that goes to the end of the order
-	tardy       = 0.6         // of what was due: an answer later than this says that units are overloaded
-	rescuePart  = 0.04        // of what is acked: deliveries called off at silent units
-	limitLess   = 0.1         // part by which such an answer lowers them
-	limitMore   = 0.06        // and an earlier one raises them
-	tellEvery   = Second / 2  // between messages to peers
-	rateSpan    = 2 * Second  // over which the relay's own rate is taken
-	failing     = 0.75        // failure share of a unit that is to be set aside
-	doubtAside  = 27.0        // sets a unit aside
-	gapFirst    = Second / 2  // between the first deliveries of a trickle
-	gapMost     = 4 * Second  // after failures
-	gapDone     = Second / 20 // a trickle this dense ends
+	roomPart    = 0.15           // of a service target: what a unit may owe
+	quiet       = 0.6            // of a service target: how long a unit may stay silent
+	coldPart    = 0.85           // of what the cold rule allows
+	coldSpread  = 3              // deviations of chance left free in it
+	coldFree    = 1              // that no unit falls under in a window, whatever it can do: the rule has a slack of 2
+	nearLeast   = 5              // units that a relay chooses from
+	demoted     = 0.25           // failure share of a unit that goes to the end of the order
+	tardy       = 0.6            // of what was due: an answer later than this says that units are overloaded
+	rescuePart  = 0.04           // of what is acked: deliveries called off at silent units
+	limitLess   = 0.1            // part by which such an answer lowers them
+	limitMore   = 0.06           // and an earlier one raises them
+	tellEvery   = Second / 2     // between messages to peers
+	rateSpan    = 2 * Second     // over which the relay's own rate is taken
+	failing     = 0.75           // failure share of a unit that is to be set aside
+	doubtAside  = 27.0           // sets a unit aside
+	gapFirst    = Second / 2     // between the first deliveries of a trickle
+	gapMost     = 4 * Second     // after failures
+	tryAgain    = 3 * Second / 2 // without an answer, then one is tried all the same: none for 4 s on end would be as good as dead
+	gapDone     = Second / 20    // a trickle this dense ends
 )
 
 // New makes the module of one instance, started now with its seed and settings.
@@ -110,12 +111,12 @@
 }
 
 // hopeless: it could hardly be answered in time any more. What has just come is tried as long as half of the deliveries
-// would be in time, and once in 4 s without an answer all the same; what had to wait as long as nine in ten would.
+// would be in time, and after 1.5 s without an answer all the same; what had to wait as long as nine in ten would.
 func (r *Relay) hopeless(cmd *Command) bool {
 	if r.now == cmd.taken {
 		op := cmd.OpType
 		if hard := r.now >= cmd.end-r.middle[op]; !hard || r.now >= cmd.end ||
-			!cmd.spared && r.now <= r.learned[op]+gapMost {
+			!cmd.spared && r.now <= r.learned[op]+tryAgain {
 			return hard
 		}
 		cmd.spared, r.learned[op] = true, r.now
@@ -736,9 +737,7 @@
 
 func (r *Relay) Stage(now Tick, news StageNews) {
 	r.now = now
-	if news.Answer {
-		r.answered(news.Ending)
-	}
+	r.answered(news)
 	if news.Ending == Acked {
 		r.judge(news.Build)
 		old := r.news
@@ -869,9 +868,9 @@
 	}
 }
 
-func (r *Relay) answered(ending Ending) {
-	v := &r.ballot
-	if v.state != cast {
+func (r *Relay) answered(news StageNews) {
+	v, ending := &r.ballot, news.Ending
+	if !news.Answer || v.state != cast {
 		return
 	}
 	v.state, v.at = stands, r.now+r.span("rollout.vote_life")
--- a/choice/served_test.go
+++ b/choice/served_test.go
@@ -306,3 +306,50 @@
 		})
 	}
 }
+
+// TestNotAllIsTurnedAway: clients that wait for less than answers take now get some tries all the same. A relay that turns
+// away all that it gets for 4 s on end, with no attempt in between, may as well be dead, and counts so.
+func TestNotAllIsTurnedAway(t *testing.T) {
+	for _, patience := range []Tick{35 * Second / 100, 15 * Second / 100} {
+		b := newBench(nil)
+		b.news(1, 0, Released, 1)
+		for door := range uint32(5) {
+			b.unit(door+1, 1, 0)
+		}
+		type answer struct {
+			at Tick
+			d  *Delivery
+		}
+		var due []answer
+		done, last, longest := 0, b.now, Tick(0)
+		for step := range 6000 { // a hundredth of a second each
+			b.now += Second / 100
+			if step%5 == 0 {
+				b.Alarm(b.now, 0)
+			}
+			for len(due) > 0 && due[0].at <= b.now {
+				d := due[0].d
+				due = due[1:]
+				ending := Acked
+				if b.now >= d.Cmd.NotAfter {
+					ending = TimedOut
+				}
+				b.Outcome(b.now, d, ending, b.now-d.sent, true, nil)
+			}
+			if step%10 == 0 {
+				wait := patience
+				if step < 300 {
+					wait = 2 * Second // who waits long enough shows how long answers take
+				}
+				b.Command(b.now, &Command{OpType: redeliverable, NotAfter: b.now + wait})
+			}
+			for ; done < len(b.host.sent); done++ {
+				last, due = b.now, append(due, answer{b.now + min(7*Second/10, b.host.sent[done].Cmd.NotAfter-b.now), b.host.sent[done]})
+			}
+			longest = max(longest, b.now-last)
+		}
+		if longest >= 3*Second || len(b.host.nacked) < 15 {
+			t.Errorf("patience %d: %.1f s without an attempt, %d nacked", patience, float64(longest)/float64(Second), len(b.host.nacked))
+		}
+	}
+}
