--- a/review/lib.sh
+++ b/review/lib.sh
@@ -26,6 +26,7 @@
 	trap - EXIT
 	for pid in "${pids[@]}" $(jobs -p); do
 		kill -CONT "$pid" 2> /dev/null
+		pkill -KILL -P "$pid" 2> /dev/null
 		kill -KILL "$pid" 2> /dev/null
 	done
 	wait 2> /dev/null
