--- a/review/build.sh
+++ b/review/build.sh
@@ -1,7 +1,8 @@
 #!/bin/bash
-# Builds the stand-ins that the cases start. The project's own programs come from the build of the deploy file.
+# Builds every stand-in that a case starts, into review/bin: this review's own (testdata/parties, the standard library alone).
+# The project's own stand-ins (a mirror, a picture server) are sub-commands of bin/silvercovectl, which the build of the deploy file makes.
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p bin
-cd testdata/standin
-GOWORK=off go build -o ../../bin/standin .
+cd testdata/parties
+GOFLAGS=-mod=mod GOPROXY=off GOTOOLCHAIN=local CGO_ENABLED=0 go build -o ../../bin/parties .
