--- a/review/lib.sh
+++ b/review/lib.sh
@@ -1,6 +1,11 @@
 # Functions that the cases share; run.sh sources this file. The exit status of a case is 1 if the rule was broken, 0 if it held, and 2 if the
 # case could not run.
 set -uo pipefail
+if [ -z "${LIMITED-}" ]; then # no case takes longer than 100 s, and 15 s more if it can't end in order
+  LIMITED=1 timeout --foreground -k 15 100 "$0"
+  status=$?
+  case $status in 0 | 1) exit $status ;; *) exit 2 ;; esac
+fi
 CASE=$(cd "$(dirname "$0")" && pwd)
 ROOT=$(cd "$CASE/../.." && pwd)
 CTL=$ROOT/bin/silvercovectl
@@ -23,7 +28,6 @@
 }
 trap finish EXIT
 trap 'exit 2' INT TERM
-
 say() { echo "$(date +%T.%3N)  $*" | tee -a "$RECORD"; }
 give_up() { say "COULD NOT RUN: $*"; exit 2; }
 
