--- a/review/lib.sh
+++ b/review/lib.sh
@@ -10,6 +10,7 @@
 ROOT=$(cd "$CASE/../.." && pwd)
 CTL=$ROOT/bin/silvercovectl
 PARTIES=$ROOT/review/bin/parties
+STANDINS=$ROOT/review/bin/standins
 RECORD=$CASE/record.txt
 TROUBLE=${TROUBLE:-1}
 WORK=$(mktemp -d)
@@ -86,6 +87,6 @@
 clients_of() { sed -n 's/^ *clients //p' "$WORK/fleet/$1.conf"; }
 
 [ -x "$CTL" ] || give_up "build the programs first: deploy/balancer.toml"
-[ -x "$PARTIES" ] || give_up "run review/build.sh first"
+[ -x "$PARTIES" ] && [ -x "$STANDINS" ] || give_up "run review/build.sh first"
 : >"$RECORD"
 say "TROUBLE=$TROUBLE"
