--- a/review/lib.sh
+++ b/review/lib.sh
@@ -63,7 +63,7 @@
 
 # example_fleet ARGUMENTS...: writes the files of the project's own example fleet to $WORK/fleet, on free ports.
 example_fleet() {
-  free_ports 40
+  free_ports 100 # some 40 for the example, the others for a link
   "$CTL" fleet example "$WORK/fleet" --port "$BASE" "$@" >/dev/null || give_up "the example's files"
 }
 
@@ -79,7 +79,10 @@
     esac
     launch "$name" "$CTL" fleet "$role" "$file"
   done
-  await 20 leases_held $nodes || give_up "not all edge nodes hold a lease"
+  await 20 leases_held $nodes || {
+    tail -n 3 "$WORK"/*.log >>"$RECORD"
+    give_up "not all edge nodes hold a lease"
+  }
 }
 
 leases_held() { [ "$(show | grep -c ' held ')" = "$1" ]; }
