--- a/review/lib.sh
+++ b/review/lib.sh
@@ -67,6 +67,33 @@
   "$CTL" fleet example "$WORK/fleet" --port "$BASE" "$@" >/dev/null || give_up "the example's files"
 }
 
+# zones_apart MS: each connection between the two zones of the example goes through a link that takes so long each way, as between two sites.
+zones_apart() {
+  local names process name
+  LINKS=()
+  names=$(basename -s .conf "$WORK"/fleet/*.conf)
+  for process in $names; do
+    for name in $names; do
+      [ "$(zone_of "$process")" != "$(zone_of "$name")" ] || continue
+      through_link "$process" peer "$name"
+      [[ $process != relay-* ]] || through_link "$process" commands "$name" # relays alone connect there
+    done
+  done
+  launch link "$PARTIES" link "$1" "${LINKS[@]}"
+}
+
+zone_of() { sed -n 's/^ *zone //p' "$WORK/fleet/$1.conf"; }
+
+# through_link PROCESS WORD NAME: the file of a process reaches NAME's address behind WORD through the link
+through_link() {
+  local address port
+  address=$(sed -n "s/^ *$2 $3 .*\b\(127[0-9.:]*\)$/\1/p" "$WORK/fleet/$1.conf")
+  [ -n "$address" ] || return 0
+  port=$((BASE + 41 + ${#LINKS[@]}))
+  sed -i "s/^\( *$2 $3 .*\)$address$/\1127.0.0.1:$port/" "$WORK/fleet/$1.conf"
+  LINKS+=("127.0.0.1:$port=$address")
+}
+
 # start_fleet: starts each process that has a file in $WORK/fleet, and waits until all edge nodes hold a lease.
 start_fleet() {
   local file name role nodes=0
