--- a/review/testdata/second/fleet.go
+++ b/review/testdata/second/fleet.go
@@ -181,6 +181,36 @@
 	return os.WriteFile(path, text, 0o600)
 }
 
+// place is what "silvercovectl fleet show" prints of an instance.
+type place struct {
+	owner, state string
+	holders      []string
+}
+
+// place returns where an instance runs and which nodes hold it.
+func (f *fleet) place(instance string) place {
+	out, _ := f.ctl("fleet", "show", f.file("relay-1"))
+	var p place
+	var columns map[string]int
+	for _, line := range strings.Split(out, "\n") {
+		if strings.HasPrefix(line, "instance ") {
+			columns = map[string]int{}
+			for _, name := range []string{"owner", "epoch", "state", "holders", "to", "why"} {
+				columns[name] = strings.Index(line, name)
+			}
+		}
+		if columns == nil || !strings.HasPrefix(line, instance+" ") || len(line) < columns["holders"] {
+			continue
+		}
+		p.owner = strings.TrimSpace(line[columns["owner"]:columns["epoch"]])
+		p.state = strings.TrimSpace(line[columns["state"]:columns["holders"]])
+		if words := strings.Fields(line[columns["holders"]:min(len(line), columns["to"])]); len(words) > 0 {
+			p.holders = strings.Split(words[0], ",")
+		}
+	}
+	return p
+}
+
 // answer is the end of a request as its client sees it.
 type answer struct {
 	how    string // served, refused, failed, or none
--- a/review/testdata/second/platform.go
+++ b/review/testdata/second/platform.go
@@ -85,11 +85,14 @@
 	}
 	if entry == nil {
 		entry = &host{Host: u.name, Site: "jhb-1", Class: "k3-fast", Share: 1, Image: u.build, unit: u}
-		if !born.IsZero() {
-			entry.Born = born.UnixMilli()
+		if u.kind != "" {
+			entry.Class = u.kind
 		}
 		w.hosts = append(w.hosts, entry)
 	}
+	if !born.IsZero() {
+		entry.Born = born.UnixMilli()
+	}
 	entry.Health, entry.changedAt = health, w.seq
 	w.rec.line("list seq=%d unit=%s health=%s build=%d", w.seq, u.name, health, u.build)
 	w.changed()
--- a/review/testdata/second/unit.go
+++ b/review/testdata/second/unit.go
@@ -29,6 +29,7 @@
 type unit struct {
 	name      string
 	build     int
+	kind      string // its kind of hardware in the list; "" for k3-fast
 	rec       *record
 	addresses map[string]string // by relay
 	work      func() time.Duration
