--- a/review/testdata/second/fleet.go
+++ b/review/testdata/second/fleet.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -316,16 +317,39 @@
 	target string
 	l      net.Listener
 
+	attempts *attemptLog // if not nil, gets the time of each query that passes
+
 	mu sync.Mutex
 	// lose, if not nil, says of an answer whether it is lost, and after which time its connection is reset.
 	lose func() (after time.Duration, lost bool)
 }
 
+// attemptLog holds the times of the queries that a relay has sent to edge nodes.
+type attemptLog struct {
+	mu    sync.Mutex
+	times []time.Time
+}
+
+func (a *attemptLog) add(at time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.times = append(a.times, at)
+}
+
+// between reports whether a query was sent within a span of time.
+func (a *attemptLog) between(from, to time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	at, _ := slices.BinarySearchFunc(a.times, from, time.Time.Compare)
+	return at < len(a.times) && a.times[at].Before(to)
+}
+
 // pair is a connection through a proxy.
 type pair struct {
 	client, server net.Conn
 	silent         bool // an answer was lost
 	answers        int  // number of times that bytes came from the server
+	queries        int  // number of times that bytes came from the client; the first ones are the startup
 }
 
 func newProxy(rec *record, target string) (*proxy, error) {
@@ -394,6 +418,12 @@
 func (p *proxy) dropped(x *pair, from net.Conn, n int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if from == x.client && n > 0 {
+		x.queries++
+		if p.attempts != nil && x.queries > 1 {
+			p.attempts.add(time.Now())
+		}
+	}
 	if x.silent || from != x.server || n == 0 {
 		return x.silent
 	}
--- a/review/testdata/second/main.go
+++ b/review/testdata/second/main.go
@@ -17,6 +17,7 @@
 	"second-answer": secondAnswer,
 	"repeat-late":   repeatLate,
 	"list-late":     listLate,
+	"pause-once":    pauseOnce,
 	"drain-stall":   drainStall,
 }
 
